--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# Every target does its own set-up: a .venv in the checkout, with the programs in its bin.
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: setup demo test lint format
+
+setup: $(STAMP)
+
+$(STAMP): pyproject.toml
+	python3 -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -e ".[dev,measure]"
+	touch $(STAMP)
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+test: setup lint
+	$(BIN)/behave --format progress --no-capture
+	$(BIN)/pytest
+
+demo: setup
+	bash tools/demo.sh $(BIN)
--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios of wisteriagw."""
--- /dev/null
+++ b/features/steps/__init__.py
@@ -0,0 +1,1 @@
+"""Steps of the scenarios."""
--- /dev/null
+++ b/features/steps/_programs.py
@@ -0,0 +1,71 @@
+"""Programs that a scenario runs as processes on loopback."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from typing import Any
+
+BIN = pathlib.Path(sys.executable).parent
+START_SECONDS = 20.0
+
+
+class Programs:
+    """Started processes by name, with their addresses."""
+
+    def __init__(self) -> None:
+        self.processes: dict[str, subprocess.Popen] = {}
+        self.addresses: dict[str, str] = {}
+
+    def reserve(self, name: str) -> str:
+        """Return a free loopback address and remember it under a name."""
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            self.addresses[name] = f"127.0.0.1:{probe.getsockname()[1]}"
+        return self.addresses[name]
+
+    def start(self, name: str, program: str, *arguments: str) -> None:
+        """Start a program."""
+        self.processes[name] = subprocess.Popen(
+            [str(BIN / program), *arguments],
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+        )
+
+    def wait_until_served(self, name: str) -> None:
+        """Wait until something listens on the address of a name."""
+        host, port = self.addresses[name].split(":")
+        deadline = time.monotonic() + START_SECONDS
+        while time.monotonic() < deadline:
+            with socket.socket() as probe:
+                if probe.connect_ex((host, int(port))) == 0:
+                    return
+            time.sleep(0.05)
+        raise AssertionError(f"{name} does not listen on {host}:{port}")
+
+    def call(
+        self, name: str, method: str, path: str, body: Any = None, **headers: str
+    ) -> tuple[int, bytes]:
+        """Send a request and return the status and the body."""
+        data = None if body is None else json.dumps(body).encode("utf-8")
+        request = urllib.request.Request(
+            f"http://{self.addresses[name]}{path}", data, headers, method=method
+        )
+        try:
+            with urllib.request.urlopen(request, timeout=20) as response:
+                return response.status, response.read()
+        except urllib.error.HTTPError as error:
+            return error.code, error.read()
+
+    def stop_all(self) -> None:
+        """End every started process."""
+        for process in self.processes.values():
+            process.kill()
+        for process in self.processes.values():
+            process.wait()
--- /dev/null
+++ b/tests/test_follower.py
@@ -0,0 +1,39 @@
+"""Tests of the stream follower."""
+
+from __future__ import annotations
+
+from tests.support import MemoryLog, VirtualClock
+from wisteriagw.config import apply_record, build_empty_config
+from wisteriagw.follower import StreamFollower
+from wisteriagw.platform import LogUnavailableError
+from wisteriagw.records import CustomerCreated, encode_record
+
+
+def build_follower(log: MemoryLog, clock: VirtualClock) -> StreamFollower:
+    """Return a follower of the configuration stream."""
+    return StreamFollower(log, "config", build_empty_config(), apply_record, clock)
+
+
+class TestStreamFollower:
+    """Guards against a reader that stops at garbage or takes an outage for the tip."""
+
+    def test_garbage_is_skipped_and_reported(self) -> None:
+        log = MemoryLog()
+        log.append("config", b"\xff\x00 not cbor")
+        log.append("config", encode_record(CustomerCreated("a", "ann", "n")))
+        follower = build_follower(log, VirtualClock())
+        follower.poll()
+        assert follower.state.customers == {"a"}
+        assert [finding.place for finding in follower.findings] == ["config@0"]
+
+    def test_outage_leaves_the_age_of_the_last_tip_read(self) -> None:
+        log, clock = MemoryLog(), VirtualClock()
+        follower = build_follower(log, clock)
+        follower.poll()
+        read_at = follower.last_tip_read_at
+        clock.advance(5)
+        log.down = True
+        failures: list[object] = []
+        follower.poll().addErrback(failures.append)
+        assert failures[0].check(LogUnavailableError)
+        assert follower.last_tip_read_at == read_at
--- /dev/null
+++ b/wisteriagw/admin/__init__.py
@@ -0,0 +1,7 @@
+"""Operators' command."""
+
+from __future__ import annotations
+
+from wisteriagw.admin._main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/wisteriagw/config/_config_state.py
@@ -0,0 +1,35 @@
+"""Configuration folded from the log."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from wisteriagw.config._sheet import Sheet
+
+
+class ConfigState(NamedTuple):
+    """Configuration up to one offset of its stream.
+
+    Attributes
+    ----------
+    revision : int
+        Offset of the last record, -1 before the first.
+    sheet_revision : int
+        Offset of the sheet in force, -1 if there is none.
+    sheet : Sheet
+        The sheet in force.
+    customers : frozenset of str
+        Customers that operators created.
+    key_customers : dict of bytes to str
+        Customer of each valid key, by the SHA-256 of the key.
+    draining : frozenset of str
+        Backend servers that shall get no new work.
+    """
+
+    revision: int
+    sheet_revision: int
+    sheet: Sheet
+    customers: frozenset[str]
+    key_customers: dict[bytes, str]
+    draining: frozenset[str]
--- /dev/null
+++ b/wisteriagw/entry/__init__.py
@@ -0,0 +1,7 @@
+"""Entry program between callers and backend servers."""
+
+from __future__ import annotations
+
+from wisteriagw.entry._main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/wisteriagw/entry/_health_resource.py
@@ -0,0 +1,39 @@
+"""Open route that tells whether the process serves."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET
+
+from wisteriagw.http import write_json
+
+if TYPE_CHECKING:
+    from twisted.web.server import Request
+
+    from wisteriagw.entry._entry_context import EntryContext
+
+
+class HealthResource(Resource):
+    """Serves ``GET /healthz``."""
+
+    isLeaf = True
+
+    def __init__(self, context: EntryContext) -> None:
+        super().__init__()
+        self._context = context
+
+    def render_GET(self, request: Request) -> Any:
+        """Answer with the state of the process."""
+        follower = self._context.config_follower
+        age = None
+        if follower.last_tip_read_at is not None:
+            age = self._context.clock() - follower.last_tip_read_at
+        answer = {
+            "vm": self._context.settings["vm"],
+            "config_revision": follower.state.revision,
+            "config_read_age_seconds": age,
+        }
+        write_json(request, 200, answer)
+        return NOT_DONE_YET
--- /dev/null
+++ b/wisteriagw/entry/_main.py
@@ -0,0 +1,78 @@
+"""The entry program."""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from typing import Any
+
+from twisted.internet import reactor
+from twisted.internet.task import LoopingCall
+from twisted.web.resource import Resource
+from twisted.web.server import Site
+
+from wisteriagw.clocks import read_boot_time
+from wisteriagw.entry._addresses_resource import AddressesResource
+from wisteriagw.entry._chat_resource import ChatResource
+from wisteriagw.entry._entry_context import EntryContext
+from wisteriagw.entry._health_resource import HealthResource
+from wisteriagw.entry._operators_resource import OperatorsResource
+from wisteriagw.entry._options import OPTIONS
+from wisteriagw.entry._requests_resource import RequestsResource
+from wisteriagw.entry._service_resource import ServiceResource
+from wisteriagw.http import BoundedRequest, HttpClient
+from wisteriagw.platform import HttpLogClient, LogUnavailableError
+from wisteriagw.settings import load_settings
+from wisteriagw.telemetry import start_logging
+
+logger = logging.getLogger(__name__)
+
+PROGRAM = "wisteriagw-entry"
+DESCRIPTION = "Carries requests of callers to backend servers."
+
+
+def main() -> None:
+    """Run the entry program."""
+    settings = load_settings(PROGRAM, DESCRIPTION, OPTIONS)
+    start_logging("entry", settings["log-level"])
+    client = HttpClient(reactor)
+    log = HttpLogClient(client, settings["log"])
+    context = EntryContext(settings, client, log, read_boot_time, Counter())
+    polling = LoopingCall(_poll_config, context)
+    polling.start(settings["config-poll-seconds"])
+    _listen(settings["listen"], build_caller_root(context))
+    operators = Resource()
+    operators.putChild(b"v1", OperatorsResource(context))
+    _listen(settings["operator-listen"], operators)
+    reactor.run()
+
+
+def build_caller_root(context: EntryContext) -> Resource:
+    """Return the resource tree of the caller interface."""
+    root = Resource()
+    root.putChild(b"healthz", HealthResource(context))
+    version = Resource()
+    root.putChild(b"v1", version)
+    chat = Resource()
+    version.putChild(b"chat", chat)
+    chat.putChild(b"completions", ChatResource(context))
+    version.putChild(b"services", ServiceResource(context))
+    version.putChild(b"requests", RequestsResource(context))
+    version.putChild(b"addresses", AddressesResource(context))
+    return root
+
+
+def _listen(address: tuple[str, int], root: Resource) -> None:
+    host, port = address
+    reactor.listenTCP(port, Site(root, requestFactory=BoundedRequest), interface=host)
+
+
+def _poll_config(context: EntryContext) -> Any:
+    polled = context.config_follower.poll()
+    polled.addErrback(_log_unavailable)
+    return polled
+
+
+def _log_unavailable(failure: Any) -> None:
+    failure.trap(LogUnavailableError)
+    logger.warning("the log cannot be read: %s", failure.getErrorMessage())
--- /dev/null
+++ b/wisteriagw/entry/_options.py
@@ -0,0 +1,38 @@
+"""Settings of the entry program."""
+
+from __future__ import annotations
+
+from wisteriagw.settings import (
+    AddressKind,
+    AddressListKind,
+    ChoiceKind,
+    NumberKind,
+    Option,
+    TextKind,
+)
+
+OPTIONS = (
+    Option("vm", TextKind(), None, "Name of this VM in the VM list."),
+    Option("data-centre", TextKind(), None, "Data centre of this VM."),
+    Option("listen", AddressKind(), None, "Address for callers."),
+    Option("operator-listen", AddressKind(), None, "Address for operators."),
+    Option("log", AddressKind(), None, "Address of the platform's log."),
+    Option(
+        "entry-addresses",
+        AddressListKind(),
+        "",
+        "Caller addresses of all entry VMs, for the answers to callers.",
+    ),
+    Option(
+        "config-poll-seconds",
+        NumberKind(0.05, 2.0, "s"),
+        "0.5",
+        "Time between two reads of the configuration stream.",
+    ),
+    Option(
+        "log-level",
+        ChoiceKind(("debug", "info", "warning", "error")),
+        "info",
+        "Lowest level of the lines that are logged.",
+    ),
+)
--- /dev/null
+++ b/wisteriagw/findings/__init__.py
@@ -0,0 +1,8 @@
+"""Faults collected with their place and reported together."""
+
+from __future__ import annotations
+
+from wisteriagw.findings._finding import Finding
+from wisteriagw.findings._formatting import format_findings
+
+__all__ = ["Finding", "format_findings"]
--- /dev/null
+++ b/wisteriagw/follower/__init__.py
@@ -0,0 +1,7 @@
+"""Reading of log streams to their tip."""
+
+from __future__ import annotations
+
+from wisteriagw.follower._stream_follower import StreamFollower
+
+__all__ = ["StreamFollower"]
--- /dev/null
+++ b/wisteriagw/http/_bounded_request.py
@@ -0,0 +1,33 @@
+"""Server request that bounds the size of its body."""
+
+from __future__ import annotations
+
+from io import BytesIO
+
+from twisted.web.server import Request
+
+MAX_BODY_BYTES = 8 * 1024 * 1024
+
+
+class BoundedRequest(Request):
+    """Request whose body stays in memory and under a bound.
+
+    The base class spools bodies to a file, and the VMs have no disks.
+    """
+
+    body_too_large = False
+
+    def gotLength(self, length: int | None) -> None:
+        """Prepare for a body of a length, None for a chunked one."""
+        self.content = BytesIO()
+        if length is not None and length > MAX_BODY_BYTES:
+            self.body_too_large = True
+
+    def handleContentChunk(self, data: bytes) -> None:
+        """Keep a part of the body unless the body is over the bound."""
+        if self.body_too_large:
+            return
+        if self.content.tell() + len(data) > MAX_BODY_BYTES:
+            self.body_too_large = True
+            return
+        self.content.write(data)
--- /dev/null
+++ b/wisteriagw/http/_http_client.py
@@ -0,0 +1,95 @@
+"""HTTP client whose results are tagged outcomes."""
+
+from __future__ import annotations
+
+from io import BytesIO
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.web.client import Agent, FileBodyProducer, HTTPConnectionPool
+from twisted.web.http_headers import Headers
+
+from wisteriagw.http._attempt_endpoints import AttemptEndpoints
+from wisteriagw.http._attempt_progress import AttemptProgress
+from wisteriagw.http._body_collector import BodyCollector
+from wisteriagw.outcomes import Done, FailedNotRun, MayHaveRun
+
+if TYPE_CHECKING:
+    from collections.abc import Generator, Mapping
+
+    from wisteriagw.outcomes import Outcome
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+MAX_IDLE_CONNECTIONS = 64
+
+
+class HttpClient:
+    """Sends requests and classifies what became of them."""
+
+    def __init__(
+        self, reactor: Any, connect_timeout: float = CONNECT_TIMEOUT_SECONDS
+    ) -> None:
+        self._reactor = reactor
+        self._connect_timeout = connect_timeout
+        self._pool = HTTPConnectionPool(reactor)
+        self._pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS
+        # The pool would repeat a request whose connection was lost, also one that ran.
+        self._pool.retryAutomatically = False
+
+    def open(
+        self,
+        address: tuple[str, int],
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> tuple[Deferred[Any], AttemptProgress]:
+        """Send a request; gives the response head and the progress of the attempt."""
+        progress = AttemptProgress()
+        agent = Agent.usingEndpointFactory(
+            self._reactor,
+            AttemptEndpoints(self._reactor, progress, self._connect_timeout),
+            pool=self._pool,
+        )
+        host, port = address
+        host_part = f"[{host}]" if ":" in host else host
+        producer = FileBodyProducer(BytesIO(body)) if body is not None else None
+        response = agent.request(
+            method.encode("ascii"),
+            f"http://{host_part}:{port}{path}".encode("ascii"),
+            Headers({name: [value] for name, value in (headers or {}).items()}),
+            producer,
+        )
+        return response, progress
+
+    @inlineCallbacks
+    def send(
+        self,
+        address: tuple[str, int],
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+        timeout: float = 30.0,
+    ) -> Generator[Deferred[Any], Any, Outcome]:
+        """Send a request and give its outcome; never fails."""
+        opening, progress = self.open(address, method, path, body, headers)
+        opening.addTimeout(timeout, self._reactor)
+        try:
+            response = yield opening
+            finished: Deferred[bytes] = Deferred()
+            response.deliverBody(BodyCollector(finished, MAX_RESPONSE_BYTES))
+            finished.addTimeout(timeout, self._reactor)
+            content = yield finished
+        except Exception as error:
+            reason = f"{type(error).__name__}: {error}"
+            if progress.may_have_been_sent:
+                return MayHaveRun(reason)
+            return FailedNotRun(reason)
+        content_type = response.headers.getRawHeaders(b"content-type", [b""])[0]
+        return Done(response.code, content, content_type.decode("latin-1"))
+
+    def close(self) -> Deferred[None]:
+        """Close the idle connections."""
+        return self._pool.closeCachedConnections()
--- /dev/null
+++ b/wisteriagw/outcomes/__init__.py
@@ -0,0 +1,12 @@
+"""Tagged outcomes of one attempt at a backend server."""
+
+from __future__ import annotations
+
+from wisteriagw.outcomes._done import Done
+from wisteriagw.outcomes._failed_not_run import FailedNotRun
+from wisteriagw.outcomes._may_have_run import MayHaveRun
+from wisteriagw.outcomes._refused_not_run import RefusedNotRun
+
+Outcome = Done | RefusedNotRun | FailedNotRun | MayHaveRun
+
+__all__ = ["Done", "FailedNotRun", "MayHaveRun", "Outcome", "RefusedNotRun"]
--- /dev/null
+++ b/wisteriagw/outcomes/_refused_not_run.py
@@ -0,0 +1,13 @@
+"""Outcome of an attempt that the receiver refused before running it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class RefusedNotRun:
+    """The receiver answered that it did not run the request."""
+
+    code: str
+    message: str
--- /dev/null
+++ b/wisteriagw/platform/__init__.py
@@ -0,0 +1,23 @@
+"""Clients of the platform's interfaces."""
+
+from __future__ import annotations
+
+from wisteriagw.platform._http_log_client import HttpLogClient
+from wisteriagw.platform._log_client import LogClient
+from wisteriagw.platform._log_page import LogPage
+from wisteriagw.platform._log_record import LogRecord
+from wisteriagw.platform._log_unavailable import LogUnavailableError
+from wisteriagw.platform._vm_entry import VmEntry
+from wisteriagw.platform._vm_list_client import VmListClient
+from wisteriagw.platform._vm_list_unavailable import VmListUnavailableError
+
+__all__ = [
+    "HttpLogClient",
+    "LogClient",
+    "LogPage",
+    "LogRecord",
+    "LogUnavailableError",
+    "VmEntry",
+    "VmListClient",
+    "VmListUnavailableError",
+]
--- /dev/null
+++ b/wisteriagw/platform/_http_log_client.py
@@ -0,0 +1,84 @@
+"""Client of the log over HTTP."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import cbor2
+from twisted.internet.defer import inlineCallbacks
+
+from wisteriagw.outcomes import Done
+from wisteriagw.platform._log_page import LogPage
+from wisteriagw.platform._log_record import LogRecord
+from wisteriagw.platform._log_unavailable import LogUnavailableError
+
+if TYPE_CHECKING:
+    from collections.abc import Generator
+    from typing import Any
+
+    from twisted.internet.defer import Deferred
+
+    from wisteriagw.http import HttpClient
+    from wisteriagw.outcomes import Outcome
+
+LOG_TIMEOUT_SECONDS = 2.0
+
+
+class HttpLogClient:
+    """Access to the log at one address.
+
+    Parameters
+    ----------
+    client : HttpClient
+        Client that carries the calls.
+    address : tuple of str and int
+        IP address and port of the log.
+    """
+
+    def __init__(self, client: HttpClient, address: tuple[str, int]) -> None:
+        self._client = client
+        self._address = address
+
+    @inlineCallbacks
+    def append(self, stream: str, data: bytes) -> Generator[Deferred[Any], Any, int]:
+        """Append a record and give its offset."""
+        outcome = yield self._client.send(
+            self._address,
+            "POST",
+            f"/streams/{stream}",
+            body=data,
+            timeout=LOG_TIMEOUT_SECONDS,
+        )
+        return int(_decode_reply(outcome)["offset"])
+
+    @inlineCallbacks
+    def read(
+        self, stream: str, start: int, limit: int
+    ) -> Generator[Deferred[Any], Any, LogPage]:
+        """Read records from an offset on."""
+        outcome = yield self._client.send(
+            self._address,
+            "GET",
+            f"/streams/{stream}?from={start}&limit={limit}",
+            timeout=LOG_TIMEOUT_SECONDS,
+        )
+        reply = _decode_reply(outcome)
+        return LogPage(
+            first_offset=reply["first_offset"],
+            next_offset=reply["next_offset"],
+            records=tuple(LogRecord(*pair) for pair in reply["records"]),
+        )
+
+
+def _decode_reply(outcome: Outcome) -> dict[str, Any]:
+    if not isinstance(outcome, Done):
+        raise LogUnavailableError(str(outcome))
+    if outcome.status != 200:
+        raise LogUnavailableError(f"the log answered with status {outcome.status}")
+    try:
+        reply = cbor2.loads(outcome.body)
+    except (ValueError, cbor2.CBORDecodeError) as error:
+        raise LogUnavailableError(f"the log's reply is not CBOR: {error}") from error
+    if not isinstance(reply, dict):
+        raise LogUnavailableError("the log's reply is not a map")
+    return reply
--- /dev/null
+++ b/wisteriagw/records/_drain_ended.py
@@ -0,0 +1,16 @@
+"""Log record: a drained backend server may get work again."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from wisteriagw.records._registry import register_record
+
+
+@register_record
+class DrainEnded(NamedTuple):
+    """An operator ended the drain of a backend server."""
+
+    backend_server: str
+    operator: str
+    nonce: str
--- /dev/null
+++ b/wisteriagw/records/_sheet_published.py
@@ -0,0 +1,17 @@
+"""Log record: a sheet was published."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from wisteriagw.records._registry import register_record
+
+
+@register_record
+class SheetPublished(NamedTuple):
+    """An operator published a sheet over the sheet with revision ``based_on``."""
+
+    based_on: int
+    sheet: dict
+    operator: str
+    nonce: str
--- /dev/null
+++ b/wisteriagw/routing/_route_request.py
@@ -0,0 +1,28 @@
+"""What the routing decision needs to know of a request."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class RouteRequest(NamedTuple):
+    """A request to be placed on a backend server.
+
+    Attributes
+    ----------
+    customer, serves : str
+        Customer, and the model or service asked for.
+    prompt_tokens, max_tokens : int
+        Size of the prompt and bound on the output.
+    repeatable : bool
+        Whether it may be cut and run again.
+    excluded : tuple of str
+        Backend servers that already failed this request.
+    """
+
+    customer: str
+    serves: str
+    prompt_tokens: int = 0
+    max_tokens: int = 0
+    repeatable: bool = True
+    excluded: tuple[str, ...] = ()
--- /dev/null
+++ b/wisteriagw/settings/__init__.py
@@ -0,0 +1,37 @@
+"""Settings in flags and environment variables, checked all together."""
+
+from __future__ import annotations
+
+from wisteriagw.settings._address_kind import AddressKind
+from wisteriagw.settings._address_list_kind import AddressListKind
+from wisteriagw.settings._choice_kind import ChoiceKind
+from wisteriagw.settings._file_kind import FileKind
+from wisteriagw.settings._flag_kind import FlagKind
+from wisteriagw.settings._integer_kind import IntegerKind
+from wisteriagw.settings._loading import (
+    build_parser,
+    check_settings,
+    get_variable,
+    load_settings,
+)
+from wisteriagw.settings._number_kind import NumberKind
+from wisteriagw.settings._option import Option
+from wisteriagw.settings._parsing import parse_value
+from wisteriagw.settings._text_kind import TextKind
+
+__all__ = [
+    "AddressKind",
+    "AddressListKind",
+    "ChoiceKind",
+    "FileKind",
+    "FlagKind",
+    "IntegerKind",
+    "NumberKind",
+    "Option",
+    "TextKind",
+    "build_parser",
+    "check_settings",
+    "get_variable",
+    "load_settings",
+    "parse_value",
+]
--- /dev/null
+++ b/wisteriagw/settings/_choice_kind.py
@@ -0,0 +1,11 @@
+"""Kind of a setting: choice."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class ChoiceKind(NamedTuple):
+    """One of the named values."""
+
+    values: tuple[str, ...]
--- /dev/null
+++ b/wisteriagw/settings/_file_kind.py
@@ -0,0 +1,9 @@
+"""Kind of a setting: file."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class FileKind(NamedTuple):
+    """The path of a file that can be read when the program starts."""
--- /dev/null
+++ b/wisteriagw/settings/_parsing.py
@@ -0,0 +1,100 @@
+"""Parsing of setting values by their kind."""
+
+from __future__ import annotations
+
+import ipaddress
+import os
+from functools import singledispatch
+from typing import Any
+
+from wisteriagw.settings._address_kind import AddressKind
+from wisteriagw.settings._address_list_kind import AddressListKind
+from wisteriagw.settings._choice_kind import ChoiceKind
+from wisteriagw.settings._file_kind import FileKind
+from wisteriagw.settings._flag_kind import FlagKind
+from wisteriagw.settings._integer_kind import IntegerKind
+from wisteriagw.settings._number_kind import NumberKind
+from wisteriagw.settings._text_kind import TextKind
+
+MAX_PORT = 65535
+
+
+@singledispatch
+def parse_value(kind: Any, text: str) -> Any:
+    """Return the value that a text stands for, or raise ValueError."""
+    raise TypeError(f"no parser for settings of {type(kind).__name__}")
+
+
+@parse_value.register
+def _(kind: TextKind, text: str) -> str:
+    return text
+
+
+@parse_value.register
+def _(kind: FlagKind, text: str) -> bool:
+    if text not in ("true", "false"):
+        raise ValueError(f"{text!r} is neither 'true' nor 'false'")
+    return text == "true"
+
+
+@parse_value.register
+def _(kind: IntegerKind, text: str) -> int:
+    try:
+        value = int(text)
+    except ValueError:
+        raise ValueError(f"{text!r} is not a whole number") from None
+    _check_bounds(kind, value)
+    return value
+
+
+@parse_value.register
+def _(kind: NumberKind, text: str) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        raise ValueError(f"{text!r} is not a number") from None
+    _check_bounds(kind, value)
+    return value
+
+
+@parse_value.register
+def _(kind: ChoiceKind, text: str) -> str:
+    if text not in kind.values:
+        raise ValueError(f"{text!r} is not one of {', '.join(kind.values)}")
+    return text
+
+
+@parse_value.register
+def _(kind: FileKind, text: str) -> str:
+    if not os.access(text, os.R_OK):
+        raise ValueError(f"{text!r} cannot be read")
+    return text
+
+
+@parse_value.register
+def _(kind: AddressKind, text: str) -> tuple[str, int]:
+    host, separator, port = text.rpartition(":")
+    if not separator:
+        raise ValueError(f"{text!r} is not of the form IP:PORT")
+    host = host.removeprefix("[").removesuffix("]")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        # Host names would need a resolver, which can block the event loop.
+        raise ValueError(f"{host!r} is not an IP address") from None
+    if not port.isdecimal() or not 0 <= int(port) <= MAX_PORT:
+        raise ValueError(f"{port!r} is not a port number")
+    return host, int(port)
+
+
+@parse_value.register
+def _(kind: AddressListKind, text: str) -> tuple[tuple[str, int], ...]:
+    return tuple(parse_value(AddressKind(), part.strip()) for part in text.split(","))
+
+
+def _check_bounds(kind: IntegerKind | NumberKind, value: float) -> None:
+    if kind.minimum <= value <= kind.maximum:
+        return
+    raise ValueError(
+        f"{value} {kind.unit} is not between {kind.minimum} and {kind.maximum}"
+    )
--- /dev/null
+++ b/wisteriagw/settings/_text_kind.py
@@ -0,0 +1,9 @@
+"""Kind of a setting: text."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class TextKind(NamedTuple):
+    """A text that is not empty."""
--- /dev/null
+++ b/wisteriagw/standins/_engine_resource.py
@@ -0,0 +1,59 @@
+"""HTTP interface of the engine stand-in."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET
+
+from wisteriagw.http import read_json_object, write_error, write_json
+
+if TYPE_CHECKING:
+    from twisted.web.server import Request
+
+    from wisteriagw.standins._engine import Engine
+
+
+class EngineResource(Resource):
+    """Serves ``/generate``, ``/requests/{id}`` and ``/load``."""
+
+    isLeaf = True
+
+    def __init__(self, engine: Engine) -> None:
+        super().__init__()
+        self._engine = engine
+
+    def render_POST(self, request: Request) -> Any:
+        """Start a generation."""
+        try:
+            generation = self._engine.start(read_json_object(request), request)
+        except (KeyError, ValueError) as error:
+            write_error(request, 400, "invalid_request", str(error), not_run=True)
+            return NOT_DONE_YET
+        self._start_events(request, generation)
+        return NOT_DONE_YET
+
+    def render_GET(self, request: Request) -> Any:
+        """Resume a stream, or report the load."""
+        if request.path == b"/load":
+            batch = self._engine.batch
+            load = {"running": len(batch.running), "waiting": len(batch.waiting)}
+            write_json(request, 200, load)
+            return NOT_DONE_YET
+        request_id = request.path.rpartition(b"/")[2].decode("latin-1")
+        generation = self._engine.generations.get(request_id)
+        customer = request.args.get(b"customer", [b""])[0].decode("latin-1")
+        if generation is None or generation.customer != customer:
+            write_error(request, 404, "not_found", "unknown request", not_run=True)
+            return NOT_DONE_YET
+        self._start_events(request, generation)
+        attempt = request.args.get(b"attempt", [b""])[0].decode("latin-1")
+        start = int(request.args.get(b"from", [b"0"])[0])
+        self._engine.resume(generation, attempt, start, request)
+        return NOT_DONE_YET
+
+    def _start_events(self, request: Request, generation: Any) -> None:
+        request.setHeader(b"content-type", b"text/event-stream")
+        finished = request.notifyFinish()
+        finished.addErrback(lambda _: self._engine.lose_reader(generation, request))
--- /dev/null
+++ b/wisteriagw/standins/_programs.py
@@ -0,0 +1,104 @@
+"""Programs of the stand-ins."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet import reactor
+from twisted.internet.task import LoopingCall
+from twisted.web.server import Site
+
+from wisteriagw.clocks import read_boot_time
+from wisteriagw.http import BoundedRequest
+from wisteriagw.settings import (
+    AddressKind,
+    IntegerKind,
+    NumberKind,
+    Option,
+    load_settings,
+)
+from wisteriagw.standins._engine import Engine
+from wisteriagw.standins._engine_resource import EngineResource
+from wisteriagw.standins._engine_speed import EngineSpeed
+from wisteriagw.standins._log_resource import LogResource
+from wisteriagw.standins._log_store import LogStore
+from wisteriagw.standins._service_resource import ServiceResource
+from wisteriagw.standins._vm_list_resource import VmListResource
+from wisteriagw.telemetry import start_logging
+
+LISTEN = Option("listen", AddressKind(), None, "Address to listen on.")
+RETENTION = Option(
+    "retention-records",
+    IntegerKind(10, 10_000_000, "records"),
+    "1000000",
+    "Records of a stream that the log keeps.",
+)
+PREFILL_RATE = Option(
+    "prefill-tokens-per-second",
+    NumberKind(1, 1e9, "tokens/s"),
+    "20000",
+    "Prompt tokens that the engine processes in a second.",
+)
+STEP_SECONDS = Option(
+    "step-seconds",
+    NumberKind(0.0001, 10, "s"),
+    "0.01",
+    "Time of a decode step, which gives every running stream a token.",
+)
+LAG_SECONDS = Option(
+    "lag-seconds",
+    NumberKind(0, 600, "s"),
+    "1",
+    "Time until a change of the VMs shows in the list.",
+)
+
+
+def run_log() -> None:
+    """Run the log stand-in."""
+    settings = load_settings(
+        "wisteriagw-standin-log",
+        "Stand-in for the platform's append-only log.",
+        (LISTEN, RETENTION),
+    )
+    store = LogStore(settings["retention-records"])
+    _serve("standin-log", settings, LogResource(store, reactor))
+
+
+def run_engine() -> None:
+    """Run the engine stand-in."""
+    settings = load_settings(
+        "wisteriagw-standin-engine",
+        "Stand-in for a model engine.",
+        (LISTEN, PREFILL_RATE, STEP_SECONDS),
+    )
+    speed = EngineSpeed(settings["prefill-tokens-per-second"], settings["step-seconds"])
+    engine = Engine(speed)
+    LoopingCall(engine.step, speed.step_seconds).start(speed.step_seconds)
+    _serve("standin-engine", settings, EngineResource(engine))
+
+
+def run_service() -> None:
+    """Run the plain service stand-in."""
+    settings = load_settings(
+        "wisteriagw-standin-service", "Stand-in for a plain service.", (LISTEN,)
+    )
+    _serve("standin-service", settings, ServiceResource())
+
+
+def run_vm_list() -> None:
+    """Run the VM list stand-in."""
+    settings = load_settings(
+        "wisteriagw-standin-vms",
+        "Stand-in for the platform's list of VMs.",
+        (LISTEN, LAG_SECONDS),
+    )
+    resource = VmListResource(settings["lag-seconds"], read_boot_time)
+    _serve("standin-vms", settings, resource)
+
+
+def _serve(program: str, settings: dict[str, Any], resource: Any) -> None:
+    start_logging(program)
+    host, port = settings["listen"]
+    site = Site(resource, requestFactory=BoundedRequest)
+    reactor.listenTCP(port, site, interface=host)
+    reactor.run()
--- /dev/null
+++ b/wisteriagw/standins/_service_resource.py
@@ -0,0 +1,43 @@
+"""Plain service stand-in that counts how often each call ran."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET
+
+from wisteriagw.http import write_json
+
+if TYPE_CHECKING:
+    from twisted.web.server import Request
+
+
+class ServiceResource(Resource):
+    """Answers every call with the number of times that its body was seen."""
+
+    isLeaf = True
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.runs: Counter[bytes] = Counter()
+
+    def render_GET(self, request: Request) -> Any:
+        """Answer an idempotent call, or report the runs at ``/runs``."""
+        if request.path == b"/runs":
+            runs = {body.decode("latin-1"): count for body, count in self.runs.items()}
+            write_json(request, 200, runs)
+            return NOT_DONE_YET
+        customer = request.getHeader("wisteriagw-customer") or ""
+        reply = {"path": request.path.decode("latin-1"), "customer": customer}
+        write_json(request, 200, reply)
+        return NOT_DONE_YET
+
+    def render_POST(self, request: Request) -> Any:
+        """Run a call that may not be repeated."""
+        request.content.seek(0)
+        body = request.content.read()
+        self.runs[body] += 1
+        write_json(request, 200, {"runs": self.runs[body]})
+        return NOT_DONE_YET
--- /dev/null
+++ b/wisteriagw/telemetry/_start.py
@@ -0,0 +1,21 @@
+"""Start of a program's logging."""
+
+from __future__ import annotations
+
+import logging
+import sys
+
+import eliot
+from eliot.stdlib import EliotHandler
+
+from wisteriagw.telemetry._line_writer import LineWriter
+
+
+def start_logging(program: str, level: str = "info") -> LineWriter:
+    """Send eliot messages and the module loggers to standard error as JSON lines."""
+    writer = LineWriter(sys.stderr.fileno(), program)
+    eliot.add_destinations(writer)
+    root = logging.getLogger("wisteriagw")
+    root.addHandler(EliotHandler())
+    root.setLevel(level.upper())
+    return writer
