--- a/wisteriagw/standins/__init__.py
+++ b/wisteriagw/standins/__init__.py
@@ -6,7 +6,8 @@
     run_engine,
     run_log,
     run_service,
+    run_usage,
     run_vm_list,
 )
 
-__all__ = ["run_engine", "run_log", "run_service", "run_vm_list"]
+__all__ = ["run_engine", "run_log", "run_service", "run_usage", "run_vm_list"]
--- a/wisteriagw/standins/_programs.py
+++ b/wisteriagw/standins/_programs.py
@@ -23,6 +23,7 @@
 from wisteriagw.standins._log_resource import LogResource
 from wisteriagw.standins._log_store import LogStore
 from wisteriagw.standins._service_resource import ServiceResource
+from wisteriagw.standins._usage_resource import UsageResource
 from wisteriagw.standins._vm_list_resource import VmListResource
 from wisteriagw.telemetry import start_logging
 
@@ -85,6 +86,14 @@
     _serve("standin-service", settings, ServiceResource())
 
 
+def run_usage() -> None:
+    """Run the usage interface stand-in."""
+    settings = load_settings(
+        "wisteriagw-standin-usage", "Stand-in for the usage interface.", (LISTEN,)
+    )
+    _serve("standin-usage", settings, UsageResource())
+
+
 def run_vm_list() -> None:
     """Run the VM list stand-in."""
     settings = load_settings(
--- a/wisteriagw/telemetry/__init__.py
+++ b/wisteriagw/telemetry/__init__.py
@@ -1,8 +1,11 @@
-"""Logs, metrics and audit trail."""
+"""Logs and metrics."""
 
 from __future__ import annotations
 
 from wisteriagw.telemetry._line_writer import LineWriter
+from wisteriagw.telemetry._metric import Metric
+from wisteriagw.telemetry._metric_table import METRICS
+from wisteriagw.telemetry._metrics import Metrics
 from wisteriagw.telemetry._start import start_logging
 
-__all__ = ["LineWriter", "start_logging"]
+__all__ = ["METRICS", "LineWriter", "Metric", "Metrics", "start_logging"]
