--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test lint format
+.PHONY: setup demo test lint format reference
 
 setup: $(STAMP)
 
@@ -19,6 +19,10 @@
 lint: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
+	$(BIN)/python tools/write_reference.py --check
+
+reference: setup
+	$(BIN)/python tools/write_reference.py
 
 test: setup lint
 	$(BIN)/behave --format progress --no-capture
--- a/wisteriagw/admin/__init__.py
+++ b/wisteriagw/admin/__init__.py
@@ -2,6 +2,6 @@
 
 from __future__ import annotations
 
-from wisteriagw.admin._main import main
+from wisteriagw.admin._main import build_parser, main
 
-__all__ = ["main"]
+__all__ = ["build_parser", "main"]
--- a/wisteriagw/entry/__init__.py
+++ b/wisteriagw/entry/__init__.py
@@ -3,5 +3,6 @@
 from __future__ import annotations
 
 from wisteriagw.entry._main import main
+from wisteriagw.entry._options import OPTIONS
 
-__all__ = ["main"]
+__all__ = ["OPTIONS", "main"]
--- a/wisteriagw/settings/__init__.py
+++ b/wisteriagw/settings/__init__.py
@@ -8,6 +8,7 @@
 from wisteriagw.settings._file_kind import FileKind
 from wisteriagw.settings._flag_kind import FlagKind
 from wisteriagw.settings._integer_kind import IntegerKind
+from wisteriagw.settings._kind_description import describe_kind
 from wisteriagw.settings._loading import (
     build_parser,
     check_settings,
@@ -31,6 +32,7 @@
     "TextKind",
     "build_parser",
     "check_settings",
+    "describe_kind",
     "get_variable",
     "load_settings",
     "parse_value",
--- a/wisteriagw/standins/__init__.py
+++ b/wisteriagw/standins/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from wisteriagw.standins._programs import (
+    PROGRAM_OPTIONS,
     run_engine,
     run_log,
     run_service,
@@ -10,4 +11,11 @@
     run_vm_list,
 )
 
-__all__ = ["run_engine", "run_log", "run_service", "run_usage", "run_vm_list"]
+__all__ = [
+    "PROGRAM_OPTIONS",
+    "run_engine",
+    "run_log",
+    "run_service",
+    "run_usage",
+    "run_vm_list",
+]
--- a/wisteriagw/standins/_programs.py
+++ b/wisteriagw/standins/_programs.py
@@ -52,14 +52,19 @@
     "1",
     "Time until a change of the VMs shows in the list.",
 )
+PROGRAM_OPTIONS = {
+    "wisteriagw-standin-log": (LISTEN, RETENTION),
+    "wisteriagw-standin-engine": (LISTEN, PREFILL_RATE, STEP_SECONDS),
+    "wisteriagw-standin-service": (LISTEN,),
+    "wisteriagw-standin-usage": (LISTEN,),
+    "wisteriagw-standin-vms": (LISTEN, LAG_SECONDS),
+}
 
 
 def run_log() -> None:
     """Run the log stand-in."""
-    settings = load_settings(
-        "wisteriagw-standin-log",
-        "Stand-in for the platform's append-only log.",
-        (LISTEN, RETENTION),
+    settings = _load(
+        "wisteriagw-standin-log", "Stand-in for the platform's append-only log."
     )
     store = LogStore(settings["retention-records"])
     _serve("standin-log", settings, LogResource(store, reactor))
@@ -67,11 +72,7 @@
 
 def run_engine() -> None:
     """Run the engine stand-in."""
-    settings = load_settings(
-        "wisteriagw-standin-engine",
-        "Stand-in for a model engine.",
-        (LISTEN, PREFILL_RATE, STEP_SECONDS),
-    )
+    settings = _load("wisteriagw-standin-engine", "Stand-in for a model engine.")
     speed = EngineSpeed(settings["prefill-tokens-per-second"], settings["step-seconds"])
     engine = Engine(speed)
     LoopingCall(engine.step, speed.step_seconds).start(speed.step_seconds)
@@ -80,31 +81,29 @@
 
 def run_service() -> None:
     """Run the plain service stand-in."""
-    settings = load_settings(
-        "wisteriagw-standin-service", "Stand-in for a plain service.", (LISTEN,)
-    )
+    settings = _load("wisteriagw-standin-service", "Stand-in for a plain service.")
     _serve("standin-service", settings, ServiceResource())
 
 
 def run_usage() -> None:
     """Run the usage interface stand-in."""
-    settings = load_settings(
-        "wisteriagw-standin-usage", "Stand-in for the usage interface.", (LISTEN,)
-    )
+    settings = _load("wisteriagw-standin-usage", "Stand-in for the usage interface.")
     _serve("standin-usage", settings, UsageResource())
 
 
 def run_vm_list() -> None:
     """Run the VM list stand-in."""
-    settings = load_settings(
-        "wisteriagw-standin-vms",
-        "Stand-in for the platform's list of VMs.",
-        (LISTEN, LAG_SECONDS),
+    settings = _load(
+        "wisteriagw-standin-vms", "Stand-in for the platform's list of VMs."
     )
     resource = VmListResource(settings["lag-seconds"], read_boot_time)
     _serve("standin-vms", settings, resource)
 
 
+def _load(program: str, description: str) -> dict[str, Any]:
+    return load_settings(program, description, PROGRAM_OPTIONS[program])
+
+
 def _serve(program: str, settings: dict[str, Any], resource: Any) -> None:
     start_logging(program)
     host, port = settings["listen"]
