Append usage partials in batches

A partial is cut every 0.5 s for the copies with peers; one record a partial would cost thousands of appends after an hour without the log.

--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -14,7 +14,7 @@
 from wisteriagw.platform import LogUnavailableError
 from wisteriagw.records import (
     FiguresRecorded,
-    UsagePartial,
+    UsageBatch,
     WindowReported,
     WindowSealed,
     encode_record,
@@ -26,6 +26,8 @@
     SendReport,
     UsageCounter,
     UsageFigures,
+    UsagePartial,
+    append_partials,
     apply_usage_record,
     build_empty_usage,
     build_rows,
@@ -44,6 +46,8 @@
     """Return the state after some records at offsets 0, 1 and so on."""
     state = build_empty_usage()
     for offset, record in enumerate(records):
+        if isinstance(record, UsagePartial):
+            record = UsageBatch([list(record)])
         state = apply_usage_record(record, state, offset)
     return state
 
@@ -124,6 +128,13 @@
         appended.addCallback(results.append)
         return results[0] is True
 
+    def _append_partials(self, partials: list[UsagePartial]) -> list[UsagePartial]:
+        results: list[list[UsagePartial]] = []
+        appended = append_partials(self.log, partials)
+        appended.addErrback(lambda f: f.trap(LogUnavailableError) and [])
+        appended.addCallback(results.append)
+        return results[0]
+
     @rule(vm=st.sampled_from(VMS), customer=st.sampled_from(CUSTOMERS))
     def serve(self, vm: str, customer: str) -> None:
         figures = UsageFigures(100, 20, 7, 0)
@@ -159,12 +170,11 @@
     @rule(vm=st.sampled_from(VMS))
     def append(self, vm: str) -> None:
         self.copy(vm)
-        for seq, partial in sorted(self.counters[vm].pending.items()):
-            if not self._append(partial):
-                continue
-            self.counters[vm].confirm(seq)
+        for partial in self._append_partials(self.counters[vm].list_pending()):
+            self.counters[vm].confirm(partial.seq)
             for peer in VMS:
-                self.copies[peer].confirm(partial.vm, partial.incarnation, [seq])
+                keys = (partial.vm, partial.incarnation, [partial.seq])
+                self.copies[peer].confirm(*keys)
 
     @rule(vm=st.sampled_from(VMS))
     def kill(self, vm: str) -> None:
@@ -178,10 +188,9 @@
 
     def recover(self, peer: str, vm: str) -> None:
         """Append a peer's copies of a failed process."""
-        for partial in self.copies[peer].list_partials(vm):
-            if self._append(partial):
-                keys = (partial.vm, partial.incarnation, [partial.seq])
-                self.copies[peer].confirm(*keys)
+        for partial in self._append_partials(self.copies[peer].list_partials(vm)):
+            keys = (partial.vm, partial.incarnation, [partial.seq])
+            self.copies[peer].confirm(*keys)
 
     @rule(fault=st.sampled_from(("down", "up", "lose", "hold", "release")))
     def switch_fault(self, fault: str) -> None:
--- a/wisteriagw/records/__init__.py
+++ b/wisteriagw/records/__init__.py
@@ -11,7 +11,7 @@
 from wisteriagw.records._key_withdrawn import KeyWithdrawn
 from wisteriagw.records._registry import register_record
 from wisteriagw.records._sheet_published import SheetPublished
-from wisteriagw.records._usage_partial import UsagePartial
+from wisteriagw.records._usage_batch import UsageBatch
 from wisteriagw.records._window_reported import WindowReported
 from wisteriagw.records._window_sealed import WindowSealed
 
@@ -23,7 +23,7 @@
     "KeyGiven",
     "KeyWithdrawn",
     "SheetPublished",
-    "UsagePartial",
+    "UsageBatch",
     "WindowReported",
     "WindowSealed",
     "decode_record",
--- a/wisteriagw/usage/__init__.py
+++ b/wisteriagw/usage/__init__.py
@@ -14,9 +14,11 @@
 from wisteriagw.usage._seal_windows import SealWindows
 from wisteriagw.usage._send_report import SendReport
 from wisteriagw.usage._state_codec import decode_usage_state, encode_usage_state
+from wisteriagw.usage._usage_appender import USAGE_STREAM, append_partials
 from wisteriagw.usage._usage_counter import UsageCounter
 from wisteriagw.usage._usage_figures import UsageFigures
 from wisteriagw.usage._usage_key import UsageKey
+from wisteriagw.usage._usage_partial import UsagePartial
 from wisteriagw.usage._usage_state import UsageState
 from wisteriagw.usage._windows import (
     WINDOW_SECONDS,
@@ -25,6 +27,7 @@
 )
 
 __all__ = [
+    "USAGE_STREAM",
     "NO_WINDOW",
     "WINDOW_SECONDS",
     "PartialCopies",
@@ -35,7 +38,9 @@
     "UsageCounter",
     "UsageFigures",
     "UsageKey",
+    "UsagePartial",
     "UsageState",
+    "append_partials",
     "apply_usage_record",
     "build_empty_usage",
     "build_rows",
--- a/wisteriagw/usage/_fold.py
+++ b/wisteriagw/usage/_fold.py
@@ -7,7 +7,7 @@
 
 from wisteriagw.records import (
     FiguresRecorded,
-    UsagePartial,
+    UsageBatch,
     WindowReported,
     WindowSealed,
 )
@@ -20,6 +20,7 @@
 from wisteriagw.usage._seen_partials import SeenPartials, add_partial
 from wisteriagw.usage._usage_figures import UsageFigures
 from wisteriagw.usage._usage_key import UsageKey
+from wisteriagw.usage._usage_partial import UsagePartial
 from wisteriagw.usage._usage_state import UsageState
 
 NO_WINDOW = -1
@@ -55,16 +56,13 @@
 
 
 @_apply.register
-def _(record: UsagePartial, state: UsageState) -> UsageState:
-    process = (record.vm, record.incarnation)
-    seen = add_partial(state.seen.get(process, SeenPartials()), record.seq)
-    if seen is None:
-        return state
-    state.seen[process] = seen
-    for window, customer, *figures in record.entries:
-        _count(state, window, customer, UsageFigures(*figures))
-    for request_id, window, customer, *figures in record.requests:
-        _count_request(state, request_id, window, customer, UsageFigures(*figures))
+def _(record: UsageBatch, state: UsageState) -> UsageState:
+    for fields in record.partials:
+        try:
+            partial = UsagePartial(*fields)
+        except TypeError:
+            continue
+        _count_partial(state, partial)
     return state
 
 
@@ -101,6 +99,18 @@
     return state
 
 
+def _count_partial(state: UsageState, partial: UsagePartial) -> None:
+    process = (partial.vm, partial.incarnation)
+    seen = add_partial(state.seen.get(process, SeenPartials()), partial.seq)
+    if seen is None:
+        return
+    state.seen[process] = seen
+    for window, customer, *figures in partial.entries:
+        _count(state, window, customer, UsageFigures(*figures))
+    for request_id, window, customer, *figures in partial.requests:
+        _count_request(state, request_id, window, customer, UsageFigures(*figures))
+
+
 def _count(
     state: UsageState, belongs_to: int, customer: str, figures: UsageFigures
 ) -> None:
--- a/wisteriagw/usage/_partial_copies.py
+++ b/wisteriagw/usage/_partial_copies.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from wisteriagw.records import UsagePartial
+    from wisteriagw.usage._usage_partial import UsagePartial
 
 # An hour of one partial every 0.5 s from four peers.
 MAX_COPIES = 28_800
--- a/wisteriagw/usage/_usage_counter.py
+++ b/wisteriagw/usage/_usage_counter.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from wisteriagw.records import UsagePartial
 from wisteriagw.usage._arithmetic import add_figures
 from wisteriagw.usage._usage_figures import UsageFigures
+from wisteriagw.usage._usage_partial import UsagePartial
 
 
 class UsageCounter:
@@ -53,6 +53,10 @@
         self._requests = {}
         return partial
 
+    def list_pending(self) -> list[UsagePartial]:
+        """Return the partials that are not known to be in the log, oldest first."""
+        return [self.pending[seq] for seq in sorted(self.pending)]
+
     def confirm(self, seq: int) -> None:
         """Forget a partial that is in the log."""
         self.pending.pop(seq, None)
--- a/wisteriagw/records/_usage_partial.py
+++ b/wisteriagw/usage/_usage_partial.py
@@ -1,13 +1,10 @@
-"""Log record: part of the usage that one VM counted."""
+"""Part of the usage that one entry process counted."""
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
-from wisteriagw.records._registry import register_record
 
-
-@register_record
 class UsagePartial(NamedTuple):
     """Usage that an entry process counted since its last partial.
 
@@ -29,5 +26,5 @@
     vm: str
     incarnation: str
     seq: int
-    entries: list
-    requests: list
+    entries: list[list[Any]]
+    requests: list[list[Any]]
