Resume, restart and continue streams; extend the engine stand-in

A lost engine connection ended the caller's stream, and a gap in the events silently dropped the rest. GenerationRelay now reads one generation wherever it runs: it resumes at the same engine under a new attempt, starts again elsewhere while no token was sent, or continues elsewhere by re-prefill of prompt plus sent tokens unless the caller forbids it (continue_elsewhere false). Otherwise the response is broken off without its closing chunk. A caller that leaves keeps its generation for 30 s. The engine tells a reader that another one took its stream over, because two relays would otherwise take it from each other in turn.

GenerateRequest carries first_index, so that a continued generation keeps its numbering and can still be resumed by its id. Refusals to resume no longer say not_run: the generation may have run. An unknown model is 404 unknown_model as the design lists it; before, it was no_backend_server, and the scenario's row changes with it.

--- a/features/end_to_end.feature
+++ b/features/end_to_end.feature
@@ -14,5 +14,5 @@
       | fault              | status | code              |
       | prompt without key | 401    | invalid_key       |
       | malformed body     | 400    | invalid_request   |
-      | unknown model      | 503    | no_backend_server |
+      | unknown model      | 404    | unknown_model     |
       | unknown service    | 404    | unknown_service   |
--- a/wisteriagw/backends/_event_check.py
+++ b/wisteriagw/backends/_event_check.py
@@ -2,20 +2,47 @@
 
 from __future__ import annotations
 
+import json
 from typing import TYPE_CHECKING
 
+from wisteriagw.backends._stream_end import StreamEnd
+
 if TYPE_CHECKING:
     from wisteriagw.backends._stream_position import StreamPosition
 
 ID_PREFIX = b"id: "
+END_PREFIX = b"event: end\ndata: "
+SUPERSEDED_PREFIX = b"event: superseded\n"
+MAX_INDEX_DIGITS = 9
 
 
 def read_event_index(event: bytes, position: StreamPosition) -> int | None:
-    """Return the index of an event, or None if it belongs to another attempt."""
-    if not event.startswith(ID_PREFIX):
-        return None
-    end = event.find(b"\n")
-    attempt, separator, index = event[len(ID_PREFIX) : end].rpartition(b"/")
-    if not separator or attempt != position.attempt or not index.isdigit():
+    """Return the index of an event, or None if it belongs to another attempt.
+
+    Raises ValueError for an event that has no valid id.
+    """
+    id_line, separator, _ = event.partition(b"\n")
+    if not separator or not id_line.startswith(ID_PREFIX):
+        raise ValueError("an event has no id")
+    attempt, separator, index = id_line[len(ID_PREFIX) :].rpartition(b"/")
+    if not separator or not index.isdigit() or len(index) > MAX_INDEX_DIGITS:
+        raise ValueError("an event's id is not of the form attempt/index")
+    if attempt != position.attempt:
         return None
     return int(index)
+
+
+def read_stream_end(payload: bytes) -> StreamEnd:
+    """Return the closing event's figures, or raise ValueError."""
+    try:
+        value = json.loads(payload)
+    except RecursionError as error:
+        raise ValueError("the closing event is nested too deeply") from error
+    if not isinstance(value, dict):
+        raise ValueError("the closing event is not a JSON object")
+    for name in ("prompt_tokens", "cached_tokens", "generated_tokens"):
+        if type(value.get(name)) is not int or value[name] < 0:
+            raise ValueError(f"{name} of the closing event is not a count")
+    if not isinstance(value.get("finish_reason"), str):
+        raise ValueError("the closing event has no finish_reason")
+    return StreamEnd(**{name: value[name] for name in StreamEnd.__annotations__})
--- a/wisteriagw/backends/_generate_request.py
+++ b/wisteriagw/backends/_generate_request.py
@@ -20,6 +20,9 @@
         Text of the prompt.
     max_tokens, priority : int
         Bound on the output, and the priority among the engine's requests.
+    first_index : int
+        Index of the first token event. It is above 0 when the prompt ends with tokens
+        that another engine generated; ``max_tokens`` counts these too.
     """
 
     request_id: str
@@ -30,3 +33,4 @@
     prompt: str
     max_tokens: int
     priority: int
+    first_index: int
--- a/wisteriagw/entry/_chat_request.py
+++ b/wisteriagw/entry/_chat_request.py
@@ -9,13 +9,27 @@
 
 
 class ChatRequest(NamedTuple):
-    """The parts of a chat completion request that are used."""
+    """The parts of a chat completion request that are used.
+
+    Attributes
+    ----------
+    model, adapter, prompt : str
+        What shall answer, and the text of the messages.
+    max_tokens : int
+        Bound on the output.
+    stream : bool
+        Whether tokens are sent as they come.
+    continue_elsewhere : bool
+        Whether another engine may continue after the tokens that were sent, when the
+        first one is lost.
+    """
 
     model: str
     adapter: str
     prompt: str
     max_tokens: int
     stream: bool
+    continue_elsewhere: bool = True
 
 
 def parse_chat_request(body: dict[str, Any]) -> ChatRequest:
@@ -32,7 +46,10 @@
     max_tokens = body.get("max_tokens", DEFAULT_MAX_TOKENS)
     if type(max_tokens) is not int or not 1 <= max_tokens <= MAX_MAX_TOKENS:
         raise ValueError(f"'max_tokens' must be between 1 and {MAX_MAX_TOKENS}")
-    stream = body.get("stream", False)
-    if type(stream) is not bool:
-        raise ValueError("'stream' must be true or false")
-    return ChatRequest(model, adapter, "\n".join(parts), max_tokens, stream)
+    flags = []
+    for name, default in (("stream", False), ("continue_elsewhere", True)):
+        flag = body.get(name, default)
+        if type(flag) is not bool:
+            raise ValueError(f"{name!r} must be true or false")
+        flags.append(flag)
+    return ChatRequest(model, adapter, "\n".join(parts), max_tokens, *flags)
--- a/wisteriagw/entry/_chat_resource.py
+++ b/wisteriagw/entry/_chat_resource.py
@@ -2,31 +2,33 @@
 
 from __future__ import annotations
 
-import json
 import secrets
 from typing import TYPE_CHECKING, Any
 
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
-from wisteriagw.backends import StreamPosition
 from wisteriagw.entry._authentication import authenticate
 from wisteriagw.entry._chat_request import parse_chat_request
-from wisteriagw.entry._generation_opening import connect_stream
+from wisteriagw.entry._deadline import (
+    CHAT_DEADLINE_SECONDS,
+    DEADLINE_HEADER,
+    read_deadline,
+)
+from wisteriagw.entry._generation_plan import GenerationPlan
+from wisteriagw.entry._generation_relay import GenerationRelay
 from wisteriagw.entry._stream_sink import StreamSink
 from wisteriagw.entry._whole_sink import WholeSink
 from wisteriagw.http import read_json_object, write_error
-from wisteriagw.routing import RouteRequest, choose_backend_server, estimate_tokens
 
 if TYPE_CHECKING:
     from twisted.web.server import Request
 
-    from wisteriagw.backends import GenerateRequest
+    from wisteriagw.config import ConfigState
     from wisteriagw.entry._chat_request import ChatRequest
     from wisteriagw.entry._entry_context import EntryContext
 
 REQUEST_ID_BYTES = 16
-ATTEMPT_ID_BYTES = 4
 
 
 class ChatResource(Resource):
@@ -40,7 +42,8 @@
 
     def render_POST(self, request: Request) -> Any:
         """Generate an answer to a prompt."""
-        customer = authenticate(request, self._context.config)
+        context = self._context
+        customer = authenticate(request, context.config)
         if customer is None:
             write_error(request, 401, "invalid_key", "no valid key", not_run=True)
             return NOT_DONE_YET
@@ -50,42 +53,31 @@
             return NOT_DONE_YET
         try:
             chat = parse_chat_request(read_json_object(request))
+            deadline = read_deadline(
+                request.getHeader(DEADLINE_HEADER),
+                context.clock(),
+                CHAT_DEADLINE_SECONDS,
+            )
         except ValueError as error:
             write_error(request, 400, "invalid_request", str(error), not_run=True)
             return NOT_DONE_YET
-        self._generate(request, customer, chat)
-        return NOT_DONE_YET
-
-    def _generate(self, request: Request, customer: str, chat: ChatRequest) -> None:
-        context = self._context
-        route_request = RouteRequest(
-            customer, chat.model, estimate_tokens(chat.prompt), chat.max_tokens
-        )
-        decision = choose_backend_server(
-            route_request, context.list_views(), context.clock()
-        )
-        if decision.chosen is None:
-            message = f"no backend server for model {chat.model!r}"
-            write_error(request, 503, "no_backend_server", message, not_run=True)
-            return
+        if not has_model(context.config, chat):
+            message = f"no model {chat.model!r} with adapter {chat.adapter!r}"
+            write_error(request, 404, "unknown_model", message, not_run=True)
+            return NOT_DONE_YET
         request_id = secrets.token_hex(REQUEST_ID_BYTES)
-        attempt = secrets.token_hex(ATTEMPT_ID_BYTES)
-        body: GenerateRequest = {
-            "request_id": request_id,
-            "attempt": attempt,
-            "customer": customer,
-            "model": chat.model,
-            "adapter": chat.adapter,
-            "prompt": chat.prompt,
-            "max_tokens": chat.max_tokens,
-            "priority": 0,
-        }
-        address = context.get_address(decision.chosen)
-        opened = context.client.open(
-            address, "POST", "/generate", json.dumps(body).encode("utf-8")
-        )
         sink_type = StreamSink if chat.stream else WholeSink
         sink = sink_type(request, request_id, chat.model)
-        position = StreamPosition(attempt.encode("ascii"), 0)
-        handle = f"{decision.chosen}.{request_id}"
-        connect_stream(request, opened, sink, position, handle)
+        plan = GenerationPlan(request_id, customer, chat, deadline)
+        context.retries.count_request()
+        GenerationRelay(context, request, sink, plan).start()
+        return NOT_DONE_YET
+
+
+def has_model(config: ConfigState, chat: ChatRequest) -> bool:
+    """Return whether the sheet has the model with the adapter."""
+    for row in config.sheet["models"]:
+        if row["name"] != chat.model:
+            continue
+        return not chat.adapter or chat.adapter in row["adapters"]
+    return False
--- a/wisteriagw/entry/_event_reader.py
+++ b/wisteriagw/entry/_event_reader.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
-import json
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.protocol import Protocol
 
-from wisteriagw.backends import StreamPosition, read_event_index
+from wisteriagw.backends import (
+    END_PREFIX,
+    SUPERSEDED_PREFIX,
+    StreamPosition,
+    read_event_index,
+    read_stream_end,
+)
 
 if TYPE_CHECKING:
     from twisted.python.failure import Failure
@@ -15,46 +20,110 @@
     from wisteriagw.backends import StreamEnd
 
 EVENT_END = b"\n\n"
-END_MARK = b"\nevent: end\n"
+DATA_PREFIX = b"data: {"
+MAX_EVENT_BYTES = 64 * 1024
 
 
 class EventReader(Protocol):
-    """Passes the tokens of one attempt to a sink, each index once and in order.
+    """Passes the tokens of one attempt to a relay, each index once and in order.
+
+    Events of other attempts and repeated ones are dropped. A gap or an event that is
+    not valid ends the attempt; the relay then resumes from the first missing index.
 
     Parameters
     ----------
-    sink : object
-        Has ``write_tokens(events)``, ``finish(end)`` and ``lose(reason)``.
+    relay : object
+        Has ``write_tokens(events)``, ``finish(end)``, ``lose(reason)`` and
+        ``supersede()``; exactly one of the last three is called, once.
     position : StreamPosition
-        The attempt and the first index that the sink has not had yet.
+        The attempt and the first index that the relay has not had yet.
     """
 
-    def __init__(self, sink: Any, position: StreamPosition) -> None:
+    def __init__(self, relay: Any, position: StreamPosition) -> None:
         self.position = position
-        self._sink = sink
+        self._relay = relay
         self._rest = b""
         self._end: StreamEnd | None = None
+        self._closed = False
+        self._id_prefix = b"id: %b/" % position.attempt
+        self._next_id = b"%d" % position.next_index
 
     def dataReceived(self, data: bytes) -> None:
         """Split the data into events and pass on those that are due."""
+        if self._closed or self._end is not None:
+            return
         *events, self._rest = (self._rest + data).split(EVENT_END)
-        due = []
-        for event in events:
-            index = read_event_index(event, self.position)
-            if index is None or index != self.position.next_index:
-                continue
-            id_line, _, rest = event.partition(b"\n")
-            if END_MARK in event:
-                self._end = json.loads(event.rpartition(b"data: ")[2])
-                continue
-            due.append(b"id: %d\n%b\n\n" % (index, rest))
-            self.position = self.position._replace(next_index=index + 1)
-        if due:
-            self._sink.write_tokens(due)
+        due: list[bytes] = []
+        try:
+            for event in events:
+                self._read_event(event, due)
+            if len(self._rest) > MAX_EVENT_BYTES:
+                raise ValueError("an event is too long")
+        except ValueError as error:
+            self._pass_on(due)
+            self._close(str(error))
+            return
+        self._pass_on(due)
 
     def connectionLost(self, reason: Failure) -> None:
-        """Tell the sink whether the stream is whole."""
+        """Tell the relay whether the stream is whole."""
+        if self._closed:
+            return
+        self._closed = True
         if self._end is not None:
-            self._sink.finish(self._end)
+            self._relay.finish(self._end)
+            return
+        self._relay.lose(reason.getErrorMessage())
+
+    def stop(self) -> None:
+        """Close the connection without a word to the relay."""
+        self._closed = True
+        self.transport.loseConnection()
+
+    def _read_event(self, event: bytes, due: list[bytes]) -> None:
+        if self._closed or self._end is not None:
+            return
+        id_line, _, rest = event.partition(b"\n")
+        # Nearly all events are the next one, so that is told without parsing numbers.
+        is_next = id_line == self._id_prefix + self._next_id
+        if not is_next and not self._check_order(event):
+            return
+        if len(event) > MAX_EVENT_BYTES:
+            raise ValueError("an event is too long")
+        if rest.startswith(DATA_PREFIX) and b"\n" not in rest:
+            due.append(b"id: %b\n%b\n\n" % (self._next_id, rest))
+            attempt, index = self.position
+            self.position = StreamPosition(attempt, index + 1)
+            self._next_id = b"%d" % (index + 1)
+            return
+        if rest.startswith(END_PREFIX):
+            self._end = read_stream_end(rest.removeprefix(END_PREFIX))
+            return
+        if rest.startswith(SUPERSEDED_PREFIX):
+            self._pass_on(due)
+            due.clear()
+            self._closed = True
+            self.transport.loseConnection()
+            self._relay.supersede()
+            return
+        raise ValueError("an event is neither a token nor the end")
+
+    def _check_order(self, event: bytes) -> bool:
+        """Return False for an event to drop; raise ValueError for a gap."""
+        index = read_event_index(event, self.position)
+        if index is None or index < self.position.next_index:
+            return False
+        raise ValueError(
+            f"events {self.position.next_index} to {index - 1} are missing"
+        )
+
+    def _pass_on(self, due: list[bytes]) -> None:
+        if due:
+            self._relay.write_tokens(due)
+
+    def _close(self, reason: str) -> None:
+        if self._closed:
             return
-        self._sink.lose(reason.getErrorMessage())
+        self._closed = True
+        self.transport.loseConnection()
+        self._relay.lose(reason)
--- /dev/null
+++ b/wisteriagw/entry/_generation_relay.py
@@ -0,0 +1,350 @@
+"""Relay of one generation from engines to a caller."""
+
+from __future__ import annotations
+
+import json
+import secrets
+from typing import TYPE_CHECKING, Any
+from urllib.parse import quote, urlencode
+
+from twisted.internet.defer import inlineCallbacks
+
+from wisteriagw.backends import GenerateRequest, StreamPosition
+from wisteriagw.entry._event_reader import EventReader
+from wisteriagw.entry._generation_text import join_tokens
+from wisteriagw.entry._service_call import describe_outcome
+from wisteriagw.http import BodyCollector, classify_loss, read_refusal
+from wisteriagw.outcomes import Done, FailedNotRun, MayHaveRun
+from wisteriagw.retries import (
+    Attempts,
+    StreamLoss,
+    StreamStep,
+    decide_stream_step,
+    record_attempt,
+)
+from wisteriagw.routing import RouteRequest, choose_backend_server, estimate_tokens
+
+if TYPE_CHECKING:
+    from collections.abc import Generator
+
+    from twisted.internet.defer import Deferred
+    from twisted.web.server import Request
+
+    from wisteriagw.backends import StreamEnd
+    from wisteriagw.entry._entry_context import EntryContext
+    from wisteriagw.entry._generation_plan import GenerationPlan
+    from wisteriagw.outcomes import Outcome
+
+ATTEMPT_ID_BYTES = 4
+MAX_RESUMES = 3
+RESUME_DELAY_SECONDS = 0.1
+KEEP_FOR_RESUME_SECONDS = 30.0
+MAX_ERROR_BYTES = 64 * 1024
+ERROR_BODY_SECONDS = 2.0
+# The events that a continuation elsewhere needs are kept up to this number; a longer
+# answer can only be resumed at its own engine.
+MAX_KEPT_EVENTS = 8192
+NOT_FOUND = Done(
+    404,
+    b'{"error": {"code": "not_found", "message": "unknown request", "not_run": false}}',
+)
+
+
+class GenerationRelay:
+    """Reads a generation, wherever it runs, and writes it to one sink.
+
+    Parameters
+    ----------
+    context : EntryContext
+        Clients and accounting of the process.
+    request : Request
+        Request of the caller.
+    sink : StreamSink or WholeSink
+        Writes to the caller.
+    plan : GenerationPlan
+        What is generated.
+
+    Notes
+    -----
+    ``context.running`` counts the stream at its backend server, and under an empty name
+    while it has none.
+    """
+
+    def __init__(
+        self,
+        context: EntryContext,
+        request: Request,
+        sink: Any,
+        plan: GenerationPlan,
+    ) -> None:
+        self._context = context
+        self._request = request
+        self._sink = sink
+        self._plan = plan
+        self._backend_server = ""
+        context.running[""] += 1
+        self._position = StreamPosition(b"", 0)
+        self._reader: EventReader | None = None
+        self._kept: list[bytes] = []
+        # A stream that is resumed by its id was started before.
+        self._attempts = Attempts(may_have_run=plan.chat is None)
+        self._last_outcome: Outcome | None = None
+        self._resumes_left = MAX_RESUMES
+        self._over = False
+        self._paused = False
+        request.notifyFinish().addErrback(lambda _: self._abandon())
+        request.registerProducer(self, True)
+        wait = max(0.0, plan.deadline - context.clock())
+        self._timer = context.client.reactor.callLater(wait, self._pass_deadline)
+
+    def start(self) -> None:
+        """Generate at the backend server that the routing decision gives."""
+        plan = self._plan
+        try:
+            prompt = plan.chat.prompt + join_tokens(self._kept)
+        except ValueError as error:
+            self._refuse(MayHaveRun(str(error)))
+            return
+        route_request = RouteRequest(
+            plan.customer,
+            plan.chat.model,
+            estimate_tokens(prompt),
+            plan.chat.max_tokens,
+            excluded=self._attempts.excluded,
+        )
+        context = self._context
+        decision = choose_backend_server(
+            route_request, context.list_views(), context.clock()
+        )
+        if decision.chosen is None:
+            message = f"no backend server for model {plan.chat.model!r}"
+            self._refuse(self._last_outcome or FailedNotRun(message))
+            return
+        self._set_place(decision.chosen, self._position.next_index)
+        body: GenerateRequest = {
+            "request_id": plan.request_id,
+            "attempt": self._position.attempt.decode("ascii"),
+            "customer": plan.customer,
+            "model": plan.chat.model,
+            "adapter": plan.chat.adapter,
+            "prompt": prompt,
+            "max_tokens": plan.chat.max_tokens,
+            "priority": 0,
+            "first_index": self._position.next_index,
+        }
+        data = json.dumps(body).encode("utf-8")
+        self._open("POST", "/generate", data)
+
+    def resume(self, backend_server: str, start: int) -> None:
+        """Read the generation from an index on where it is generated."""
+        self._set_place(backend_server, start)
+        query = urlencode(
+            {
+                "customer": self._plan.customer,
+                "attempt": self._position.attempt.decode("ascii"),
+                "from": start,
+            }
+        )
+        request_id = quote(self._plan.request_id, safe="")
+        self._open("GET", f"/requests/{request_id}?{query}", None)
+
+    def write_tokens(self, events: list[bytes]) -> None:
+        """Pass on the events of an engine."""
+        if self._timer is not None and self._sink.can_resume:
+            self._stop_timer()
+        self._position = self._reader.position
+        self._resumes_left = MAX_RESUMES
+        if len(self._kept) <= MAX_KEPT_EVENTS:
+            self._kept.extend(events)
+        self._sink.write_tokens(events)
+
+    def finish(self, end: StreamEnd) -> None:
+        """End the caller's response as a whole answer."""
+        try:
+            self._close()
+            self._sink.finish(end)
+        except ValueError as error:
+            self._sink.refuse(MayHaveRun(str(error)))
+
+    def supersede(self) -> None:
+        """End the response because another one took the stream over."""
+        self._refuse(MayHaveRun("the stream was resumed by another request"))
+
+    def lose(self, reason: str) -> None:
+        """Go on after the connection to the engine was lost."""
+        self._go_on(MayHaveRun(reason), engine_may_have_it=True)
+
+    def pauseProducing(self) -> None:
+        """Stop reading from the engine until the caller has caught up."""
+        self._paused = True
+        self._apply_pause()
+
+    def resumeProducing(self) -> None:
+        """Read on."""
+        self._paused = False
+        self._apply_pause()
+
+    def stopProducing(self) -> None:
+        """Stop for good; the notice of the caller's loss does the rest."""
+
+    def _set_place(self, backend_server: str, next_index: int) -> None:
+        attempt = secrets.token_hex(ATTEMPT_ID_BYTES).encode("ascii")
+        self._position = StreamPosition(attempt, next_index)
+        if backend_server != self._backend_server:
+            self._context.running[self._backend_server] -= 1
+            self._context.running[backend_server] += 1
+            self._backend_server = backend_server
+            self._sink.set_handle(f"{backend_server}.{self._plan.request_id}")
+
+    @inlineCallbacks
+    def _open(
+        self, method: str, path: str, body: bytes | None
+    ) -> Generator[Deferred[Any], Any, None]:
+        address = self._context.get_address(self._backend_server)
+        if address is None:
+            self._go_on(FailedNotRun("the backend server is not on the sheet"), False)
+            return
+        opening, progress = self._context.client.open(address, method, path, body)
+        try:
+            response = yield opening
+        except Exception as error:
+            outcome = classify_loss(error, progress)
+            self._go_on(outcome, isinstance(outcome, MayHaveRun))
+            return
+        if response.code == 200 and not self._over:
+            self._reader = EventReader(self, self._position)
+            response.deliverBody(self._reader)
+            if self._paused:
+                self._apply_pause()
+            return
+        if response.code == 404 and self._plan.chat is None:
+            response.deliverBody(BodyCollector(MAX_ERROR_BYTES))
+            self._refuse(NOT_FOUND)
+            return
+        outcome = yield self._read_error(response)
+        self._go_on(outcome, engine_may_have_it=False)
+
+    @inlineCallbacks
+    def _read_error(self, response: Any) -> Generator[Deferred[Any], Any, Outcome]:
+        collector = BodyCollector(MAX_ERROR_BYTES)
+        response.deliverBody(collector)
+        collector.finished.addTimeout(ERROR_BODY_SECONDS, self._context.client.reactor)
+        reason = f"the engine answered with status {response.code}"
+        try:
+            content = yield collector.finished
+        except Exception as error:
+            return MayHaveRun(f"{reason}: {error}")
+        return read_refusal(response.code, content) or MayHaveRun(reason)
+
+    def _go_on(self, outcome: Outcome, engine_may_have_it: bool) -> None:
+        if self._over:
+            return
+        self._reader = None
+        self._last_outcome = outcome
+        if isinstance(outcome, MayHaveRun):
+            self._attempts = self._attempts._replace(may_have_run=True)
+        chat = self._plan.chat
+        if chat is None:
+            may_retry = False
+        elif engine_may_have_it and self._resumes_left > 0:
+            may_retry = True
+        else:
+            may_retry = self._take_retry(outcome)
+        loss = StreamLoss(
+            engine_may_have_it,
+            self._resumes_left,
+            self._sink.sent_tokens,
+            may_continue=chat is not None
+            and chat.continue_elsewhere
+            and len(self._kept) <= MAX_KEPT_EVENTS
+            and self._position.next_index < chat.max_tokens,
+            may_retry=may_retry,
+        )
+        self._take_step(decide_stream_step(loss), outcome)
+
+    def _take_step(self, step: StreamStep, outcome: Outcome) -> None:
+        if step is StreamStep.RESUME:
+            delay = RESUME_DELAY_SECONDS * (MAX_RESUMES - self._resumes_left)
+            self._resumes_left -= 1
+            place = (self._backend_server, self._position.next_index)
+            self._context.client.reactor.callLater(delay, self._resume_later, *place)
+            return
+        if step is StreamStep.END:
+            self._refuse(outcome)
+            return
+        self._send_cancel()
+        if step is StreamStep.RESTART:
+            self._kept.clear()
+            self._sink.reset()
+            self._position = StreamPosition(b"", 0)
+        self._resumes_left = MAX_RESUMES
+        self.start()
+
+    def _resume_later(self, backend_server: str, start: int) -> None:
+        if not self._over:
+            self.resume(backend_server, start)
+
+    def _take_retry(self, outcome: Outcome) -> bool:
+        self._attempts = record_attempt(self._attempts, self._backend_server, outcome)
+        # A generation may run twice; only its tokens must not be sent twice.
+        decision = self._context.retries.decide(outcome, True, self._plan.deadline)
+        return decision.retry
+
+    def _refuse(self, result: Any) -> None:
+        if self._over:
+            return
+        self._close()
+        if self._attempts.may_have_run and not isinstance(result, Done):
+            result = MayHaveRun(describe_outcome(result))
+        self._sink.refuse(result)
+
+    def _pass_deadline(self) -> None:
+        self._timer = None
+        if self._over:
+            return
+        self._send_cancel()
+        self._refuse(MayHaveRun("the answer did not come before the deadline"))
+
+    def _abandon(self) -> None:
+        """Cancel after the caller has left, for a stream only after the resume time."""
+        if self._over:
+            return
+        self._close()
+        wait = KEEP_FOR_RESUME_SECONDS if self._sink.can_resume else 0.0
+        self._context.client.reactor.callLater(wait, self._send_cancel)
+
+    def _close(self) -> None:
+        self._over = True
+        self._context.running[self._backend_server] -= 1
+        if self._timer is not None:
+            self._stop_timer()
+        if self._reader is not None:
+            self._reader.stop()
+            self._reader = None
+        if not self._request.disconnected:
+            self._request.unregisterProducer()
+
+    def _stop_timer(self) -> None:
+        self._timer.cancel()
+        self._timer = None
+
+    def _send_cancel(self) -> None:
+        """Cancel the generation unless another request has taken it over since."""
+        address = self._context.get_address(self._backend_server)
+        if address is None:
+            return
+        body = {
+            "request_id": self._plan.request_id,
+            "customer": self._plan.customer,
+            "attempt": self._position.attempt.decode("ascii"),
+        }
+        data = json.dumps(body).encode("utf-8")
+        self._context.client.send(address, "POST", "/cancel", data, timeout=2.0)
+
+    def _apply_pause(self) -> None:
+        if self._reader is None or self._reader.transport is None:
+            return
+        if self._paused:
+            self._reader.transport.pauseProducing()
+        else:
+            self._reader.transport.resumeProducing()
--- a/wisteriagw/entry/_requests_resource.py
+++ b/wisteriagw/entry/_requests_resource.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
-import secrets
 from typing import TYPE_CHECKING, Any
-from urllib.parse import quote, urlencode
 
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
-from wisteriagw.backends import StreamPosition
 from wisteriagw.entry._authentication import authenticate
-from wisteriagw.entry._generation_opening import connect_stream
+from wisteriagw.entry._deadline import (
+    CHAT_DEADLINE_SECONDS,
+    DEADLINE_HEADER,
+    read_deadline,
+)
+from wisteriagw.entry._generation_plan import GenerationPlan
+from wisteriagw.entry._generation_relay import GenerationRelay
 from wisteriagw.entry._stream_sink import StreamSink
 from wisteriagw.http import write_error
 
@@ -20,11 +23,14 @@
 
     from wisteriagw.entry._entry_context import EntryContext
 
-ATTEMPT_ID_BYTES = 4
+MAX_INDEX_DIGITS = 9
 
 
 class RequestsResource(Resource):
-    """Serves ``GET /v1/requests/{id}`` with ``Last-Event-ID``."""
+    """Serves ``GET /v1/requests/{id}`` with ``Last-Event-ID``.
+
+    A refusal to resume does not say ``not_run``: the generation may well have run.
+    """
 
     isLeaf = True
 
@@ -34,24 +40,37 @@
 
     def render_GET(self, request: Request) -> Any:
         """Resume the stream after the last event that the caller has."""
-        customer = authenticate(request, self._context.config)
+        context = self._context
+        customer = authenticate(request, context.config)
         if customer is None:
-            write_error(request, 401, "invalid_key", "no valid key", not_run=True)
+            write_error(request, 401, "invalid_key", "no valid key", not_run=False)
+            return NOT_DONE_YET
+        try:
+            start = read_start(request.getHeader("last-event-id"))
+            deadline = read_deadline(
+                request.getHeader(DEADLINE_HEADER),
+                context.clock(),
+                CHAT_DEADLINE_SECONDS,
+            )
+        except ValueError as error:
+            write_error(request, 400, "invalid_request", str(error), not_run=False)
             return NOT_DONE_YET
         handle = request.path.rpartition(b"/")[2].decode("latin-1")
         backend_server, _, request_id = handle.rpartition(".")
-        address = self._context.get_address(backend_server)
-        last_event = request.getHeader("last-event-id") or "-1"
-        if address is None or not last_event.removeprefix("-").isdecimal():
-            message = "unknown request or Last-Event-ID"
-            write_error(request, 404, "not_found", message, not_run=True)
+        if context.get_address(backend_server) is None or not request_id:
+            write_error(request, 404, "not_found", "unknown request", not_run=False)
             return NOT_DONE_YET
-        attempt = secrets.token_hex(ATTEMPT_ID_BYTES)
-        start = int(last_event) + 1
-        query = urlencode({"customer": customer, "attempt": attempt, "from": start})
-        path = f"/requests/{quote(request_id, safe='')}?{query}"
-        opened = self._context.client.open(address, "GET", path)
         sink = StreamSink(request, request_id, "")
-        position = StreamPosition(attempt.encode("ascii"), start)
-        connect_stream(request, opened, sink, position, handle)
+        plan = GenerationPlan(request_id, customer, None, deadline)
+        GenerationRelay(context, request, sink, plan).resume(backend_server, start)
         return NOT_DONE_YET
+
+
+def read_start(last_event: str | None) -> int:
+    """Return the first index that a caller lacks, or raise ValueError."""
+    if last_event is None or last_event == "-1":
+        return 0
+    digits = last_event.isascii() and last_event.isdecimal()
+    if not digits or len(last_event) > MAX_INDEX_DIGITS:
+        raise ValueError("Last-Event-ID is not an index")
+    return int(last_event) + 1
--- a/wisteriagw/entry/_stream_sink.py
+++ b/wisteriagw/entry/_stream_sink.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import json
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
+
+from wisteriagw.entry._result_answers import write_result
 
 if TYPE_CHECKING:
     from twisted.web.server import Request
@@ -12,21 +14,42 @@
 
 
 class StreamSink:
-    """Sends tokens to the caller as server-sent events."""
+    """Sends tokens to the caller as server-sent events.
+
+    Attributes
+    ----------
+    can_resume : bool
+        Whether the caller can come back for the rest.
+    sent_tokens : bool
+        Whether the caller has had something that cannot be taken back.
+    """
+
+    can_resume = True
 
     def __init__(self, request: Request, request_id: str, model: str) -> None:
+        self.sent_tokens = False
         self._request = request
         self._request_id = request_id
         self._model = model
-        request.setHeader(b"content-type", b"text/event-stream")
-        request.setHeader(b"cache-control", b"no-store")
+
+    def set_handle(self, handle: str) -> None:
+        """Tell the caller what to resume the stream with."""
+        data = handle.encode("latin-1")
+        if not self.sent_tokens:
+            self._request.setHeader(b"wisteriagw-request", data)
+            return
+        self._request.write(b"event: moved\ndata: %b\n\n" % data)
 
     def write_tokens(self, events: list[bytes]) -> None:
         """Send the events of some tokens in one write."""
+        if not self.sent_tokens:
+            self._start()
         self._request.write(b"".join(events))
 
     def finish(self, end: StreamEnd) -> None:
         """Send the closing chunk with the usage, and end the response."""
+        if not self.sent_tokens:
+            self._start()
         chunk = {
             "id": self._request_id,
             "object": "chat.completion.chunk",
@@ -41,9 +64,25 @@
         self._request.write(b"data: %b\n\ndata: [DONE]\n\n" % data)
         self._request.finish()
 
-    def lose(self, reason: str) -> None:
-        """Break the response off, so that the caller does not take it for whole."""
-        self._request.transport.abortConnection()
+    def refuse(self, result: Any) -> None:
+        """Answer with a result other than tokens.
+
+        After the first token, the response is broken off instead, so that the caller
+        does not take it for whole.
+        """
+        if self.sent_tokens:
+            self._request.transport.abortConnection()
+            return
+        self._request.responseHeaders.removeHeader(b"wisteriagw-request")
+        write_result(result, self._request)
+
+    def reset(self) -> None:
+        """Prepare for a generation that starts again; nothing was sent."""
+
+    def _start(self) -> None:
+        self.sent_tokens = True
+        self._request.setHeader(b"content-type", b"text/event-stream")
+        self._request.setHeader(b"cache-control", b"no-store")
 
 
 def build_usage(end: StreamEnd) -> dict[str, int]:
--- a/wisteriagw/entry/_whole_sink.py
+++ b/wisteriagw/entry/_whole_sink.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-import json
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
+from wisteriagw.entry._generation_text import join_tokens
+from wisteriagw.entry._result_answers import write_result
 from wisteriagw.entry._stream_sink import build_usage
-from wisteriagw.http import write_error, write_json
+from wisteriagw.http import write_json
 
 if TYPE_CHECKING:
     from twisted.web.server import Request
@@ -17,21 +18,26 @@
 class WholeSink:
     """Answers the caller once, when the stream has ended."""
 
+    can_resume = False
+    sent_tokens = False
+
     def __init__(self, request: Request, request_id: str, model: str) -> None:
         self._request = request
         self._request_id = request_id
         self._model = model
-        self._parts: list[str] = []
+        self._events: list[bytes] = []
+
+    def set_handle(self, handle: str) -> None:
+        """Tell the caller which request this was."""
+        self._request.setHeader(b"wisteriagw-request", handle.encode("latin-1"))
 
     def write_tokens(self, events: list[bytes]) -> None:
         """Keep the tokens of some events."""
-        for event in events:
-            chunk = json.loads(event.partition(b"data: ")[2])
-            self._parts.append(chunk["choices"][0]["delta"]["content"])
+        self._events.extend(events)
 
     def finish(self, end: StreamEnd) -> None:
-        """Send the whole answer."""
-        message = {"role": "assistant", "content": "".join(self._parts)}
+        """Send the whole answer; raises ValueError if the tokens are not valid."""
+        message = {"role": "assistant", "content": join_tokens(self._events)}
         choice = {
             "index": 0,
             "message": message,
@@ -47,7 +53,11 @@
         }
         write_json(self._request, 200, answer)
 
-    def lose(self, reason: str) -> None:
-        """Answer that the request may have run."""
-        message = f"the stream was lost: {reason}"
-        write_error(self._request, 502, "may_have_run", message, not_run=False)
+    def refuse(self, result: Any) -> None:
+        """Answer with a result other than tokens."""
+        self._request.responseHeaders.removeHeader(b"wisteriagw-request")
+        write_result(result, self._request)
+
+    def reset(self) -> None:
+        """Drop the tokens of a generation that starts again."""
+        self._events.clear()
--- a/wisteriagw/http/__init__.py
+++ b/wisteriagw/http/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from wisteriagw.http._body_collector import BodyCollector
 from wisteriagw.http._bounded_request import BoundedRequest
 from wisteriagw.http._http_client import HttpClient, classify_loss
 from wisteriagw.http._json_body import read_json_object
@@ -9,6 +10,7 @@
 from wisteriagw.http._replies import write_error, write_json
 
 __all__ = [
+    "BodyCollector",
     "BoundedRequest",
     "HttpClient",
     "classify_loss",
--- a/wisteriagw/http/_http_client.py
+++ b/wisteriagw/http/_http_client.py
@@ -33,7 +33,7 @@
     def __init__(
         self, reactor: Any, connect_timeout: float = CONNECT_TIMEOUT_SECONDS
     ) -> None:
-        self._reactor = reactor
+        self.reactor = reactor
         self._connect_timeout = connect_timeout
         self._pool = HTTPConnectionPool(reactor)
         self._pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS
@@ -51,8 +51,8 @@
         """Send a request; gives the response head and the progress of the attempt."""
         progress = AttemptProgress()
         agent = Agent.usingEndpointFactory(
-            self._reactor,
-            AttemptEndpoints(self._reactor, progress, self._connect_timeout),
+            self.reactor,
+            AttemptEndpoints(self.reactor, progress, self._connect_timeout),
             pool=self._pool,
         )
         host, port = address
@@ -82,12 +82,12 @@
         except Exception as error:
             # The request could not be built, for example from a path outside ASCII.
             return FailedNotRun(f"{type(error).__name__}: {error}")
-        opening.addTimeout(timeout, self._reactor)
+        opening.addTimeout(timeout, self.reactor)
         try:
             response = yield opening
             collector = BodyCollector(MAX_RESPONSE_BYTES)
             response.deliverBody(collector)
-            collector.finished.addTimeout(timeout, self._reactor)
+            collector.finished.addTimeout(timeout, self.reactor)
             content = yield collector.finished
         except Exception as error:
             return classify_loss(error, progress)
--- a/wisteriagw/retries/__init__.py
+++ b/wisteriagw/retries/__init__.py
@@ -12,14 +12,20 @@
     take_retry,
 )
 from wisteriagw.retries._retry_decision import RetryDecision
+from wisteriagw.retries._stream_decision import decide_stream_step
+from wisteriagw.retries._stream_loss import StreamLoss
+from wisteriagw.retries._stream_step import StreamStep
 
 __all__ = [
     "Attempts",
     "RetryBudget",
     "RetryDecision",
+    "StreamLoss",
+    "StreamStep",
     "build_budget",
     "count_request",
     "decide_retry",
+    "decide_stream_step",
     "record_attempt",
     "refill",
     "take_retry",
--- a/wisteriagw/standins/_engine_resource.py
+++ b/wisteriagw/standins/_engine_resource.py
@@ -16,7 +16,7 @@
 
 
 class EngineResource(Resource):
-    """Serves ``/generate``, ``/requests/{id}`` and ``/load``."""
+    """Serves ``/generate``, ``/requests/{id}``, ``/cancel``, ``/load``, ``/faults``."""
 
     isLeaf = True
 
@@ -25,15 +25,34 @@
         self._engine = engine
 
     def render_POST(self, request: Request) -> Any:
-        """Start a generation."""
+        """Start or cancel a generation, or show a fault."""
         try:
-            generation = self._engine.start(read_json_object(request), request)
+            body = read_json_object(request)
+            if request.path == b"/cancel":
+                identity = (body["request_id"], body["customer"], body["attempt"])
+                write_json(request, 200, {"cancelled": self._engine.cancel(*identity)})
+                return NOT_DONE_YET
+            if request.path == b"/faults":
+                self._show_fault(request, body)
+                return NOT_DONE_YET
+            if self._engine.is_full:
+                message = "the queue is full"
+                write_error(request, 503, "overloaded", message, not_run=True)
+                return NOT_DONE_YET
+            generation = self._engine.start(body, request)
         except (KeyError, ValueError) as error:
             write_error(request, 400, "invalid_request", str(error), not_run=True)
             return NOT_DONE_YET
         self._start_events(request, generation)
         return NOT_DONE_YET
 
+    def _show_fault(self, request: Request, body: dict[str, Any]) -> None:
+        if body.get("cut_connections"):
+            self._engine.cut_connections()
+        if body.get("crash"):
+            self._engine.crash()
+        write_json(request, 200, body)
+
     def render_GET(self, request: Request) -> Any:
         """Resume a stream, or report the load."""
         if request.path == b"/load":
--- a/wisteriagw/standins/_engine_speed.py
+++ b/wisteriagw/standins/_engine_speed.py
@@ -16,8 +16,14 @@
         Time of one decode step, which gives every running stream one token.
     max_batch : int
         Streams that decode at once.
+    max_waiting : int
+        Requests that wait; more are refused.
+    max_cached_blocks : int
+        Blocks of 1,000 tokens in the prefix cache.
     """
 
     prefill_tokens_per_second: float = 20_000.0
     step_seconds: float = 0.01
     max_batch: int = 64
+    max_waiting: int = 256
+    max_cached_blocks: int = 4096
