--- a/wisteriagw/records/__init__.py
+++ b/wisteriagw/records/__init__.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from wisteriagw.records._call_batch import CallBatch
+from wisteriagw.records._call_claimed import CallClaimed
+from wisteriagw.records._call_finished import CallFinished
 from wisteriagw.records._codec import decode_record, encode_record
 from wisteriagw.records._customer_created import CustomerCreated
 from wisteriagw.records._drain_ended import DrainEnded
@@ -16,6 +19,9 @@
 from wisteriagw.records._window_sealed import WindowSealed
 
 __all__ = [
+    "CallBatch",
+    "CallClaimed",
+    "CallFinished",
     "CustomerCreated",
     "DrainEnded",
     "DrainRequested",
--- /dev/null
+++ b/wisteriagw/retries/__init__.py
@@ -0,0 +1,32 @@
+"""Decisions about repeating a request after an attempt at a backend server."""
+
+from __future__ import annotations
+
+from wisteriagw.retries._attempts import Attempts, record_attempt
+from wisteriagw.retries._decision import decide_retry
+from wisteriagw.retries._retry_budget import (
+    RetryBudget,
+    build_budget,
+    count_request,
+    refill,
+    take_retry,
+)
+from wisteriagw.retries._retry_decision import RetryDecision
+from wisteriagw.retries._stream_decision import decide_stream_step
+from wisteriagw.retries._stream_loss import StreamLoss
+from wisteriagw.retries._stream_step import StreamStep
+
+__all__ = [
+    "Attempts",
+    "RetryBudget",
+    "RetryDecision",
+    "StreamLoss",
+    "StreamStep",
+    "build_budget",
+    "count_request",
+    "decide_retry",
+    "decide_stream_step",
+    "record_attempt",
+    "refill",
+    "take_retry",
+]
--- a/wisteriagw/standins/_programs.py
+++ b/wisteriagw/standins/_programs.py
@@ -46,6 +46,12 @@
     "0.01",
     "Time of a decode step, which gives every running stream a token.",
 )
+MAX_WAITING = Option(
+    "max-waiting",
+    IntegerKind(0, 100_000, "requests"),
+    "256",
+    "Requests that wait in the engine; more are refused.",
+)
 LAG_SECONDS = Option(
     "lag-seconds",
     NumberKind(0, 600, "s"),
@@ -54,7 +60,12 @@
 )
 PROGRAM_OPTIONS = {
     "wisteriagw-standin-log": (LISTEN, RETENTION),
-    "wisteriagw-standin-engine": (LISTEN, PREFILL_RATE, STEP_SECONDS),
+    "wisteriagw-standin-engine": (
+        LISTEN,
+        PREFILL_RATE,
+        STEP_SECONDS,
+        MAX_WAITING,
+    ),
     "wisteriagw-standin-service": (LISTEN,),
     "wisteriagw-standin-usage": (LISTEN,),
     "wisteriagw-standin-vms": (LISTEN, LAG_SECONDS),
@@ -73,7 +84,11 @@
 def run_engine() -> None:
     """Run the engine stand-in."""
     settings = _load("wisteriagw-standin-engine", "Stand-in for a model engine.")
-    speed = EngineSpeed(settings["prefill-tokens-per-second"], settings["step-seconds"])
+    speed = EngineSpeed(
+        settings["prefill-tokens-per-second"],
+        settings["step-seconds"],
+        max_waiting=settings["max-waiting"],
+    )
     engine = Engine(speed)
     LoopingCall(engine.step, speed.step_seconds).start(speed.step_seconds)
     _serve("standin-engine", settings, EngineResource(engine))
