Add the usage reporter's turns

A report is sent only from figures in the log, under the authority, and to an interface that ignores fencing numbers only after the predecessor's end is proved.

--- a/wisteriagw/platform/__init__.py
+++ b/wisteriagw/platform/__init__.py
@@ -7,6 +7,8 @@
 from wisteriagw.platform._log_page import LogPage
 from wisteriagw.platform._log_record import LogRecord
 from wisteriagw.platform._log_unavailable import LogUnavailableError
+from wisteriagw.platform._usage_client import UsageClient
+from wisteriagw.platform._usage_unavailable import UsageUnavailableError
 from wisteriagw.platform._vm_entry import VmEntry
 from wisteriagw.platform._vm_list_client import VmListClient
 from wisteriagw.platform._vm_list_unavailable import VmListUnavailableError
@@ -17,6 +19,8 @@
     "LogPage",
     "LogRecord",
     "LogUnavailableError",
+    "UsageClient",
+    "UsageUnavailableError",
     "VmEntry",
     "VmListClient",
     "VmListUnavailableError",
--- /dev/null
+++ b/wisteriagw/platform/_usage_client.py
@@ -0,0 +1,49 @@
+"""Client of the platform's usage interface."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.defer import inlineCallbacks
+
+from wisteriagw.outcomes import Done
+from wisteriagw.platform._usage_unavailable import UsageUnavailableError
+
+if TYPE_CHECKING:
+    from collections.abc import Generator
+
+    from twisted.internet.defer import Deferred
+
+    from wisteriagw.http import HttpClient
+
+USAGE_TIMEOUT_SECONDS = 5.0
+
+
+class UsageClient:
+    """Access to the usage interface over HTTP."""
+
+    def __init__(self, client: HttpClient, address: tuple[str, int]) -> None:
+        self._client = client
+        self._address = address
+
+    @inlineCallbacks
+    def report(
+        self, window: int, customer: str, rows: list[list[Any]], fencing_number: int
+    ) -> Generator[Deferred[Any], Any, None]:
+        """Report a customer's figures of a window, or fail.
+
+        The same report may be sent again after a failure.
+        """
+        body = {
+            "window": window,
+            "customer": customer,
+            "rows": rows,
+            "fencing_number": fencing_number,
+        }
+        data = json.dumps(body).encode("utf-8")
+        outcome = yield self._client.send(
+            self._address, "POST", "/reports", data, timeout=USAGE_TIMEOUT_SECONDS
+        )
+        if not isinstance(outcome, Done) or outcome.status != 200:
+            raise UsageUnavailableError(str(outcome))
--- /dev/null
+++ b/wisteriagw/reporter/__init__.py
@@ -0,0 +1,7 @@
+"""Usage reporter."""
+
+from __future__ import annotations
+
+from wisteriagw.reporter._reporter import Reporter
+
+__all__ = ["Reporter"]
--- /dev/null
+++ b/wisteriagw/reporter/_reporter.py
@@ -0,0 +1,125 @@
+"""Closing of usage windows and sending of reports."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Generator
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.defer import Deferred, inlineCallbacks
+
+from wisteriagw.platform import UsageUnavailableError
+from wisteriagw.records import (
+    FiguresRecorded,
+    WindowReported,
+    WindowSealed,
+    encode_record,
+)
+from wisteriagw.usage import (
+    USAGE_STREAM,
+    RecordFigures,
+    SealWindows,
+    SendReport,
+    decide_reporting_steps,
+    get_newest_closable_window,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wisteriagw.follower import StreamFollower
+    from wisteriagw.leases import LeaseKeeper
+    from wisteriagw.platform import LogClient, UsageClient
+
+logger = logging.getLogger(__name__)
+
+
+class Reporter:
+    """Reports usage while its process holds the authority.
+
+    Parameters
+    ----------
+    keeper : LeaseKeeper
+        Keeper of the authority ``usage``.
+    follower : StreamFollower
+        Reader of the usage stream.
+    log : LogClient
+        Access to the log.
+    client : UsageClient
+        Access to the usage interface.
+    wall_clock : callable
+        Returns the time that windows are counted in.
+    checks_fencing : bool
+        Whether the usage interface refuses old fencing numbers.
+    """
+
+    def __init__(
+        self,
+        keeper: LeaseKeeper,
+        follower: StreamFollower,
+        log: LogClient,
+        client: UsageClient,
+        wall_clock: Callable[[], float],
+        checks_fencing: bool,
+    ) -> None:
+        self._keeper = keeper
+        self._follower = follower
+        self._log = log
+        self._client = client
+        self._wall_clock = wall_clock
+        self._checks_fencing = checks_fencing
+
+    @inlineCallbacks
+    def run_turn(self) -> Generator[Deferred[Any], Any, None]:
+        """Take the steps that are due; fails with LogUnavailableError."""
+        number = self._keeper.get_fencing_number()
+        if number is None:
+            return
+        yield self._follower.poll()
+        may_send = self._may_send()
+        closable = get_newest_closable_window(self._wall_clock())
+        for step in decide_reporting_steps(self._follower.state, closable):
+            # The lease may have lapsed while the last step waited for its reply.
+            if self._keeper.get_fencing_number() != number:
+                return
+            if isinstance(step, SendReport) and not may_send:
+                continue
+            yield self._take(step, number)
+
+    def _may_send(self) -> bool:
+        """Return whether no earlier holder can still send a report."""
+        unproved = self._keeper.find_unproved()
+        if not unproved or self._checks_fencing:
+            return True
+        names = ", ".join(former.vm for former in unproved)
+        logger.warning("reports wait until the end of %s is proved", names)
+        return False
+
+    @singledispatchmethod
+    def _take(self, step: Any, number: int) -> Deferred[Any]:
+        raise TypeError(f"no action for {type(step).__name__}")
+
+    @_take.register
+    def _(self, step: SealWindows, number: int) -> Deferred[Any]:
+        return self._append(WindowSealed(step.window, number))
+
+    @_take.register
+    def _(self, step: RecordFigures, number: int) -> Deferred[Any]:
+        return self._append(FiguresRecorded(step.window, number, step.rows))
+
+    @_take.register
+    @inlineCallbacks
+    def _(self, step: SendReport, number: int) -> Generator[Deferred[Any], Any, None]:
+        self._keeper.busy = True
+        try:
+            yield self._client.report(step.window, step.customer, step.rows, number)
+        except UsageUnavailableError as error:
+            logger.warning("window %d is reported again later: %s", step.window, error)
+            return
+        finally:
+            self._keeper.busy = False
+        yield self._append(WindowReported(step.window, step.customer, number))
+
+    def _append(self, record: Any) -> Deferred[Any]:
+        return self._log.append(USAGE_STREAM, encode_record(record))
