--- a/wisteriagw/platform/__init__.py
+++ b/wisteriagw/platform/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from wisteriagw.platform._backends_client import BackendsClient
+from wisteriagw.platform._backends_unavailable import BackendsUnavailableError
 from wisteriagw.platform._http_log_client import HttpLogClient
 from wisteriagw.platform._log_client import LogClient
 from wisteriagw.platform._log_page import LogPage
@@ -12,6 +14,8 @@
 from wisteriagw.platform._vm_list_unavailable import VmListUnavailableError
 
 __all__ = [
+    "BackendsClient",
+    "BackendsUnavailableError",
     "HttpLogClient",
     "LogClient",
     "LogPage",
--- a/wisteriagw/records/__init__.py
+++ b/wisteriagw/records/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from wisteriagw.records._audit_entry import AuditEntry
 from wisteriagw.records._codec import decode_record, encode_record
 from wisteriagw.records._customer_created import CustomerCreated
 from wisteriagw.records._drain_ended import DrainEnded
@@ -13,10 +14,13 @@
 from wisteriagw.records._lease_release import LeaseRelease
 from wisteriagw.records._lease_renewal import LeaseRenewal
 from wisteriagw.records._lease_reset import LeaseReset
+from wisteriagw.records._order_intent import OrderIntent
+from wisteriagw.records._order_settled import OrderSettled
 from wisteriagw.records._registry import register_record
 from wisteriagw.records._sheet_published import SheetPublished
 
 __all__ = [
+    "AuditEntry",
     "CustomerCreated",
     "DrainEnded",
     "DrainRequested",
@@ -27,6 +31,8 @@
     "LeaseRelease",
     "LeaseRenewal",
     "LeaseReset",
+    "OrderIntent",
+    "OrderSettled",
     "SheetPublished",
     "decode_record",
     "encode_record",
