Add orders to the engine stand-in and a backend server stand-in

The lease machine needs receivers that show conflicts. The engine counts orders that came under an older number or during a change; without its check of the number the machine judges conflicts on both kinds of receivers. The random pause rule reached a takeover too rarely and is now one rule with a pause of up to 30 s.

--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from tests.support import LeaseProcess, MemoryLog, RecordingStore
+from tests.support import LeaseProcess, MemoryLog, RecordingStore, VirtualClock
 from wisteriagw.leases import (
     ACT_MARGIN_SECONDS,
     LEASES_STREAM,
@@ -25,6 +25,7 @@
     LeaseReset,
     encode_record,
 )
+from wisteriagw.standins._engine_orders import EngineOrders
 
 PROCESSES = st.integers(0, 2)
 
@@ -306,16 +307,18 @@
     def __init__(self) -> None:
         super().__init__()
         self.world = World(max_records=25)
-        self.world.run(2)
-        self.newest = {True: -1, False: -1}
+        self.engines = {
+            fenced: EngineOrders(VirtualClock(), 0, checks_fencing=fenced)
+            for fenced in (True, False)
+        }
         self.next_vm = 3
 
     def deliver(self, number: int, *, fenced: bool) -> None:
-        """Let an order arrive; a receiver that checks refuses an older number."""
-        if fenced and number < self.newest[fenced]:
-            return
-        assert number >= self.newest[fenced], "older number after a newer one"
-        self.newest[fenced] = number
+        """Let an order arrive and end; neither receiver may take an older number."""
+        engine = self.engines[fenced]
+        order = {"action": "change_role", "role": "decode", "order_id": "o"}
+        engine.take({**order, "fencing_number": number})
+        assert engine.conflicts == 0, "older number after a newer one"
 
     @rule(seconds=st.integers(1, 20))
     def run_all(self, seconds: int) -> None:
@@ -335,13 +338,19 @@
                 self.deliver(number, fenced=fenced)
 
     @rule(
-        number=st.none() | PROCESSES,
+        number=st.sampled_from((None, None, 0, 1, 2)),
         stands_still=st.booleans(),
         fenced=st.booleans(),
-        seconds=st.integers(0, 30),
+        seconds=st.sampled_from((1, 5, 16, 30)),
+        wakes=st.booleans(),
     )
     def pause_between_check_and_send(
-        self, number: int | None, stands_still: bool, fenced: bool, seconds: int
+        self,
+        number: int | None,
+        stands_still: bool,
+        fenced: bool,
+        seconds: int,
+        wakes: bool,
     ) -> None:
         """Pause a process, by default the holder, and let the others go on."""
         if number is None:
@@ -354,6 +363,8 @@
         process.checked = (process.check(fenced=fenced), fenced)
         self.world.run(seconds)
         self.order(fenced)
+        if wakes:
+            self.wake(number)
 
     @rule(number=PROCESSES)
     def wake(self, number: int) -> None:
@@ -365,19 +376,14 @@
         if checked is not None:
             self.deliver(checked, fenced=fenced)
 
-    @rule(number=PROCESSES)
-    def kill(self, number: int) -> None:
+    @rule(number=PROCESSES, how=st.sampled_from(("kill", "restart", "replace")))
+    def end(self, number: int, how: str) -> None:
         self.world.processes[number] = None
-
-    @rule(number=PROCESSES)
-    def restart(self, number: int) -> None:
-        self.world.start(number)
-
-    @rule(number=PROCESSES)
-    def replace_vm(self, number: int) -> None:
-        self.world.vms[number] = f"vm-{self.next_vm}"
-        self.next_vm += 1
-        self.world.start(number)
+        if how == "replace":
+            self.world.vms[number] = f"vm-{self.next_vm}"
+            self.next_vm += 1
+        if how != "kill":
+            self.world.start(number)
 
     @rule(seconds=st.integers(1, 30), lost=st.integers(0, 2))
     def lose_the_log(self, seconds: int, lost: int) -> None:
--- a/wisteriagw/standins/__init__.py
+++ b/wisteriagw/standins/__init__.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from wisteriagw.standins._programs import (
+    run_backends,
     run_engine,
     run_log,
     run_service,
     run_vm_list,
 )
 
-__all__ = ["run_engine", "run_log", "run_service", "run_vm_list"]
+__all__ = ["run_backends", "run_engine", "run_log", "run_service", "run_vm_list"]
--- /dev/null
+++ b/wisteriagw/standins/_backends_fault.py
@@ -0,0 +1,26 @@
+"""Fault that the backend server interface stand-in shows."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class BackendsFault(NamedTuple):
+    """How calls to the interface are disturbed.
+
+    Attributes
+    ----------
+    down : bool
+        Whether calls get no answer and have no effect.
+    lost_replies : int
+        Number of orders that shall take effect without a reply.
+    delay_seconds : float
+        Time before a call takes effect and is answered.
+    reclaimable_available : bool
+        Whether reclaimable backend servers can be had.
+    """
+
+    down: bool = False
+    lost_replies: int = 0
+    delay_seconds: float = 0.0
+    reclaimable_available: bool = True
--- a/wisteriagw/standins/_programs.py
+++ b/wisteriagw/standins/_programs.py
@@ -2,23 +2,30 @@
 
 from __future__ import annotations
 
+import os
 from typing import Any
 
 from twisted.internet import reactor
 from twisted.internet.task import LoopingCall
 from twisted.web.server import Site
 
-from wisteriagw.clocks import read_boot_time
+from wisteriagw.clocks import read_boot_time, read_wall_time
 from wisteriagw.http import BoundedRequest
 from wisteriagw.settings import (
     AddressKind,
+    ChoiceKind,
     IntegerKind,
     NumberKind,
     Option,
     load_settings,
 )
+from wisteriagw.standins._backends_resource import BackendsResource
+from wisteriagw.standins._backends_store import BackendsStore
 from wisteriagw.standins._engine import Engine
+from wisteriagw.standins._engine_orders import EngineOrders
+from wisteriagw.standins._engine_orders_resource import EngineOrdersResource
 from wisteriagw.standins._engine_resource import EngineResource
+from wisteriagw.standins._engine_root import EngineRoot
 from wisteriagw.standins._engine_speed import EngineSpeed
 from wisteriagw.standins._log_resource import LogResource
 from wisteriagw.standins._log_store import LogStore
@@ -45,6 +52,24 @@
     "0.01",
     "Time of a decode step, which gives every running stream a token.",
 )
+CHECKS_FENCING = Option(
+    "checks-fencing",
+    ChoiceKind(("true", "false")),
+    "true",
+    "Whether the engine refuses orders with an old fencing number.",
+)
+CHANGE_SECONDS = Option(
+    "change-seconds",
+    NumberKind(0, 600, "s"),
+    "3",
+    "Time that an ordered change takes.",
+)
+CRASH_IN_CHANGE = Option(
+    "crash-in-change",
+    ChoiceKind(("true", "false")),
+    "false",
+    "Whether the engine ends in the middle of its first change.",
+)
 LAG_SECONDS = Option(
     "lag-seconds",
     NumberKind(0, 600, "s"),
@@ -69,12 +94,38 @@
     settings = load_settings(
         "wisteriagw-standin-engine",
         "Stand-in for a model engine.",
-        (LISTEN, PREFILL_RATE, STEP_SECONDS),
+        (
+            LISTEN,
+            PREFILL_RATE,
+            STEP_SECONDS,
+            CHECKS_FENCING,
+            CHANGE_SECONDS,
+            CRASH_IN_CHANGE,
+        ),
     )
     speed = EngineSpeed(settings["prefill-tokens-per-second"], settings["step-seconds"])
     engine = Engine(speed)
     LoopingCall(engine.step, speed.step_seconds).start(speed.step_seconds)
-    _serve("standin-engine", settings, EngineResource(engine))
+    orders = EngineOrders(
+        read_boot_time,
+        settings["change-seconds"],
+        checks_fencing=settings["checks-fencing"] == "true",
+        crash=_crash if settings["crash-in-change"] == "true" else None,
+    )
+    LoopingCall(orders.step).start(speed.step_seconds)
+    root = EngineRoot(EngineResource(engine), EngineOrdersResource(orders))
+    _serve("standin-engine", settings, root)
+
+
+def run_backends() -> None:
+    """Run the backend server interface stand-in."""
+    settings = load_settings(
+        "wisteriagw-standin-backends",
+        "Stand-in for the platform's backend server interface.",
+        (LISTEN,),
+    )
+    resource = BackendsResource(BackendsStore(read_wall_time), reactor)
+    _serve("standin-backends", settings, resource)
 
 
 def run_service() -> None:
@@ -96,6 +147,11 @@
     _serve("standin-vms", settings, resource)
 
 
+def _crash() -> None:
+    # A crash runs no shutdown code.
+    os._exit(1)
+
+
 def _serve(program: str, settings: dict[str, Any], resource: Any) -> None:
     start_logging(program)
     host, port = settings["listen"]
