--- a/tests/support/__init__.py
+++ b/tests/support/__init__.py
@@ -2,9 +2,30 @@
 
 from __future__ import annotations
 
-from tests.support._held_log import HeldLog
-from tests.support._memory_log import MemoryLog
-from tests.support._scripted_peer import ScriptedPeer
-from tests.support._virtual_clock import VirtualClock
+from tests.support._held_log import (
+    HeldLog,
+)
+from tests.support._lease_process import (
+    LeaseProcess,
+)
+from tests.support._memory_log import (
+    MemoryLog,
+)
+from tests.support._recording_store import (
+    RecordingStore,
+)
+from tests.support._scripted_peer import (
+    ScriptedPeer,
+)
+from tests.support._virtual_clock import (
+    VirtualClock,
+)
 
-__all__ = ["HeldLog", "MemoryLog", "ScriptedPeer", "VirtualClock"]
+__all__ = [
+    "HeldLog",
+    "LeaseProcess",
+    "MemoryLog",
+    "RecordingStore",
+    "ScriptedPeer",
+    "VirtualClock",
+]
--- a/wisteriagw/standins/__init__.py
+++ b/wisteriagw/standins/__init__.py
@@ -4,6 +4,7 @@
 
 from wisteriagw.standins._programs import (
     PROGRAM_OPTIONS,
+    run_backends,
     run_engine,
     run_log,
     run_service,
@@ -13,6 +14,7 @@
 
 __all__ = [
     "PROGRAM_OPTIONS",
+    "run_backends",
     "run_engine",
     "run_log",
     "run_service",
