Share the registry codec between log records and mesh messages

Mesh messages need the same checks as log records. The registry moves to wisteriagw.registry; records keep the map form with field names, messages use arrays, because field names would be two thirds of a heartbeat. Decoding turns every error into a finding: tagged CBOR values raise more than ValueError.

--- /dev/null
+++ b/wisteriagw/messages/__init__.py
@@ -0,0 +1,24 @@
+"""Message types of the mesh and their codec."""
+
+from __future__ import annotations
+
+from wisteriagw.messages._codec import decode_message, encode_message
+from wisteriagw.messages._config_records import ConfigRecords
+from wisteriagw.messages._config_request import ConfigRequest
+from wisteriagw.messages._digest_push import DigestPush
+from wisteriagw.messages._heartbeat import Heartbeat
+from wisteriagw.messages._probe_reply import ProbeReply
+from wisteriagw.messages._probe_request import ProbeRequest
+from wisteriagw.messages._registry import register_message
+
+__all__ = [
+    "ConfigRecords",
+    "ConfigRequest",
+    "DigestPush",
+    "Heartbeat",
+    "ProbeReply",
+    "ProbeRequest",
+    "decode_message",
+    "encode_message",
+    "register_message",
+]
--- a/wisteriagw/records/_codec.py
+++ b/wisteriagw/records/_codec.py
@@ -4,17 +4,13 @@
 
 from typing import Any
 
-import cbor2
-
-from wisteriagw.findings import Finding
-from wisteriagw.records._registry import build_record
-
-KIND_FIELD = "kind"
+from wisteriagw.records._registry import RECORDS
+from wisteriagw.registry import decode_map, encode_map
 
 
 def encode_record(record: Any) -> bytes:
     """Return the CBOR form of a registered record."""
-    return cbor2.dumps({KIND_FIELD: type(record).__name__, **record._asdict()})
+    return encode_map(record)
 
 
 def decode_record(data: bytes, place: str = "record") -> Any:
@@ -22,10 +18,4 @@
 
     A Finding instead of an exception keeps one garbage record from stopping a reader.
     """
-    try:
-        fields = cbor2.loads(data)
-        if not isinstance(fields, dict):
-            return Finding(place, "not a CBOR map")
-        return build_record(str(fields.pop(KIND_FIELD, "")), fields)
-    except (ValueError, cbor2.CBORDecodeError, RecursionError, TypeError) as error:
-        return Finding(place, f"not a valid record: {error}")
+    return decode_map(RECORDS, data, place)
