Add membership and the serving permit

Heartbeats are dated by echoed clock readings instead of their arrival: a paused process wakes with a socket buffer of old heartbeats, and dating them on arrival let it serve a withdrawn key. A restarted process has lost what its predecessor confirmed, so it votes only after it has read the log, a peer vouched with a read after its start, or 7.5 s passed and a majority of others agrees. Above 16 VMs the votes of other data centres travel in summaries, which count for 4.5 s, because three waits of 1 s lie behind them.

The property test ran once with each guard removed. With the majority, the revision check or the age of a vouch removed the state machine failed; arrival dating, settling, votes of unrecovered VMs and votes under another VM list each failed a test of TestPermitInMesh. All pass with the guards in place.

--- /dev/null
+++ b/tests/support/_simulated_vm.py
@@ -0,0 +1,32 @@
+"""One VM of a simulated mesh."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+from tests.support._memory_log import MemoryLog
+from wisteriagw.config import apply_record, build_empty_config
+from wisteriagw.follower import RecordHistory, StreamFollower
+from wisteriagw.membership import Membership, build_membership
+
+
+class SimulatedVm(NamedTuple):
+    """A running process with its own clock and its own link to the log."""
+
+    membership: Membership
+    log: MemoryLog
+    inbox: list[tuple[str, Any]]
+
+
+def start_vm(
+    name: str, data_centre: str, store: Any, clock: Any, send: Any, incarnation: int
+) -> SimulatedVm:
+    """Return a process that has heard and read nothing yet."""
+    log = MemoryLog()
+    log.store = store
+    history = RecordHistory(1_000_000)
+    follower = StreamFollower(
+        log, "config", build_empty_config(), apply_record, clock, history
+    )
+    state = build_membership(name, data_centre, "127.0.0.1", incarnation, clock())
+    return SimulatedVm(Membership(state, follower, history, clock, send), log, [])
--- a/wisteriagw/follower/__init__.py
+++ b/wisteriagw/follower/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from wisteriagw.follower._record_history import RecordHistory
 from wisteriagw.follower._stream_follower import StreamFollower
 
-__all__ = ["StreamFollower"]
+__all__ = ["RecordHistory", "StreamFollower"]
--- /dev/null
+++ b/wisteriagw/follower/_record_history.py
@@ -0,0 +1,39 @@
+"""Records of a stream that are kept for peers."""
+
+from __future__ import annotations
+
+from collections import deque
+
+
+class RecordHistory:
+    """The newest records of a stream up to a bound on their size.
+
+    A peer that needs older ones has to read the log or a checkpoint.
+    """
+
+    def __init__(self, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
+        self._size = 0
+        self._records: deque[tuple[int, bytes]] = deque()
+
+    def add(self, offset: int, data: bytes) -> None:
+        """Keep a record; the oldest ones make room for it."""
+        self._records.append((offset, data))
+        self._size += len(data)
+        while self._size > self._max_bytes and len(self._records) > 1:
+            self._size -= len(self._records.popleft()[1])
+
+    def list_from(self, start: int, max_bytes: int) -> tuple[tuple[int, bytes], ...]:
+        """Return records from an offset on, at least one, or none if it is gone."""
+        if not self._records or self._records[0][0] > start:
+            return ()
+        found: list[tuple[int, bytes]] = []
+        size = 0
+        for offset, data in self._records:
+            if offset < start:
+                continue
+            size += len(data)
+            if found and size > max_bytes:
+                break
+            found.append((offset, data))
+        return tuple(found)
--- a/wisteriagw/follower/_stream_follower.py
+++ b/wisteriagw/follower/_stream_follower.py
@@ -15,6 +15,7 @@
 
     from twisted.internet.defer import Deferred
 
+    from wisteriagw.follower._record_history import RecordHistory
     from wisteriagw.platform import LogClient, LogRecord
 
 logger = logging.getLogger(__name__)
@@ -37,6 +38,8 @@
         ``apply(record, state, offset)`` returns the next state.
     clock : callable
         Returns the time in seconds; see ``wisteriagw.clocks.read_boot_time``.
+    history : RecordHistory, optional
+        Keeps the records that were applied, for peers that cannot read the log.
     """
 
     def __init__(
@@ -46,6 +49,7 @@
         state: Any,
         apply: Callable[[Any, Any, int], Any],
         clock: Callable[[], float],
+        history: RecordHistory | None = None,
     ) -> None:
         self.stream = stream
         self.state = state
@@ -55,6 +59,7 @@
         self._client = client
         self._apply = apply
         self._clock = clock
+        self._history = history
 
     @inlineCallbacks
     def poll(self) -> Generator[Deferred[Any], Any, None]:
@@ -66,16 +71,19 @@
         while True:
             started = self._clock()
             page = yield self._client.read(self.stream, self.next_offset, PAGE_RECORDS)
-            self._apply_page(page.records)
+            self.apply_records(page.records)
             if self.next_offset >= page.next_offset:
                 self.last_tip_read_at = started
                 return
 
-    def _apply_page(self, records: tuple[LogRecord, ...]) -> None:
+    def apply_records(self, records: tuple[LogRecord, ...]) -> None:
+        """Apply records in offset order; those applied before change nothing."""
         for offset, data in records:
             if offset < self.next_offset:
                 continue
             self.next_offset = offset + 1
+            if self._history is not None:
+                self._history.add(offset, data)
             record = decode_record(data, f"{self.stream}@{offset}")
             if isinstance(record, Finding):
                 logger.warning("skipped %s: %s", record.place, record.message)
--- /dev/null
+++ b/wisteriagw/membership/_addresses.py
@@ -0,0 +1,33 @@
+"""Choice of the entry addresses for a caller."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wisteriagw.membership._rendezvous import rank_names
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from wisteriagw.membership._member import Member
+
+MAX_ADDRESSES = 8
+MAX_NEAR_ADDRESSES = 5
+
+
+def choose_entry_vms(
+    caller: str, data_centre: str, available: Iterable[Member]
+) -> list[Member]:
+    """Return the VMs to name to a caller, in the order in which it shall try them.
+
+    The own data centre comes first. Within a data centre the rendezvous order by the
+    caller's address spreads callers evenly, also over the VMs that are left when one
+    is lost. A few places are kept for other data centres, so that the answer still
+    helps when the own one is lost.
+    """
+    members = {member.vm: member for member in available}
+    near = [vm for vm, member in members.items() if member.data_centre == data_centre]
+    far = [vm for vm, member in members.items() if member.data_centre != data_centre]
+    near_ranked = rank_names(caller, near)[:MAX_NEAR_ADDRESSES]
+    ranked = near_ranked + rank_names(caller, far)
+    return [members[vm] for vm in ranked[:MAX_ADDRESSES]]
--- /dev/null
+++ b/wisteriagw/membership/_handling.py
@@ -0,0 +1,85 @@
+"""Handling of the messages that membership receives."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import TYPE_CHECKING, Any
+
+from wisteriagw.membership._probes import decide_probe_answer
+from wisteriagw.membership._summaries import apply_digest, to_age_ms
+from wisteriagw.membership._updates import apply_heartbeat, apply_probe_reply
+from wisteriagw.messages import (
+    ConfigRecords,
+    ConfigRequest,
+    DigestPush,
+    Heartbeat,
+    ProbeReply,
+    ProbeRequest,
+)
+
+if TYPE_CHECKING:
+    from wisteriagw.membership._membership import Membership
+
+# A page stays well under the bound of a mesh frame.
+MAX_RECORDS_BYTES = 256 * 1024
+CONFIG_REQUEST_SECONDS = 0.2
+
+
+@singledispatch
+def handle_message(message: Any, membership: Membership, sender: str) -> None:
+    """Apply a message; types that are not registered here change nothing."""
+
+
+@handle_message.register(Heartbeat)
+def _(message: Heartbeat, membership: Membership, sender: str) -> None:
+    if message.vm != sender:
+        return
+    now = membership.clock()
+    membership.state = apply_heartbeat(membership.state, message, now)
+    membership.merge_signs(message.signs)
+    if message.config_revision <= membership.follower.state.revision:
+        return
+    if now - membership.last_config_request_at < CONFIG_REQUEST_SECONDS:
+        return
+    membership.last_config_request_at = now
+    membership.send(sender, ConfigRequest(membership.follower.next_offset))
+
+
+@handle_message.register(DigestPush)
+def _(message: DigestPush, membership: Membership, sender: str) -> None:
+    now = membership.clock()
+    membership.state = apply_digest(membership.state, sender, message, now)
+    membership.merge_signs(message.signs)
+
+
+@handle_message.register(ConfigRequest)
+def _(message: ConfigRequest, membership: Membership, sender: str) -> None:
+    records = membership.history.list_from(message.start, MAX_RECORDS_BYTES)
+    if records:
+        membership.send(sender, ConfigRecords(message.start, records))
+
+
+@handle_message.register(ConfigRecords)
+def _(message: ConfigRecords, membership: Membership, sender: str) -> None:
+    follower = membership.follower
+    # A gap would leave out a record for good, so the pages are taken in order.
+    if message.start > follower.next_offset:
+        return
+    before = follower.next_offset
+    follower.apply_records(tuple((offset, data) for offset, data in message.records))
+    if follower.next_offset > before:
+        membership.send(sender, ConfigRequest(follower.next_offset))
+
+
+@handle_message.register(ProbeRequest)
+def _(message: ProbeRequest, membership: Membership, sender: str) -> None:
+    answer = decide_probe_answer(membership.state, message.target, membership.clock())
+    if answer is None:
+        return
+    incarnation, age = answer
+    membership.send(sender, ProbeReply(message.target, incarnation, to_age_ms(age)))
+
+
+@handle_message.register(ProbeReply)
+def _(message: ProbeReply, membership: Membership, sender: str) -> None:
+    membership.state = apply_probe_reply(membership.state, message, membership.clock())
--- /dev/null
+++ b/wisteriagw/membership/_heard_summary.py
@@ -0,0 +1,15 @@
+"""Summary of other data centres as a VM heard it from a relay."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from wisteriagw.membership._remote_summary import RemoteSummary
+
+
+class HeardSummary(NamedTuple):
+    """A summary and the time since which everything in it was certainly true."""
+
+    summary: RemoteSummary
+    proved_at: float
--- /dev/null
+++ b/wisteriagw/membership/_heartbeat_facts.py
@@ -0,0 +1,16 @@
+"""What a VM says of itself in a heartbeat."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class HeartbeatFacts(NamedTuple):
+    """State of the sender; see ``wisteriagw.messages.Heartbeat``."""
+
+    seq: int
+    leaving: bool
+    established: bool
+    revision: int
+    log_read_at: float
+    signs: tuple[tuple[str, int], ...] = ()
--- /dev/null
+++ b/wisteriagw/membership/_member.py
@@ -0,0 +1,55 @@
+"""What a VM knows of another VM."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+NEVER = float("-inf")
+
+
+class Member(NamedTuple):
+    """A VM on the VM list; all times are readings of the own clock.
+
+    Attributes
+    ----------
+    vm, data_centre, host : str
+        Identity, place and IP address from the VM list.
+    listed_leaving, leaving, established : bool
+        Whether the VM list or the VM itself says that it is leaving, and whether the
+        VM has recovered the configuration since its start.
+    incarnation, seq : int
+        Of the last heartbeat; 0 before the first.
+    heard_at : float
+        Arrival of the last heartbeat.
+    vouched_at : float
+        Latest time at which a probed peer had heard from the VM.
+    proved_at : float
+        Time before which the last heartbeat was certainly not sent.
+    clock_offset, offset_at : float
+        Lower bound of own clock minus the VM's clock, and when it was measured.
+    echo_sent_at, echo_received_at : float
+        What the next heartbeat to the VM echoes.
+    config_revision, vm_list_digest : int
+        From the last heartbeat.
+    log_read_at : float
+        Time before which the VM's last read of the log to its tip did not start.
+    """
+
+    vm: str
+    data_centre: str
+    host: str
+    listed_leaving: bool = False
+    leaving: bool = False
+    established: bool = False
+    incarnation: int = 0
+    seq: int = 0
+    heard_at: float = NEVER
+    vouched_at: float = NEVER
+    proved_at: float = NEVER
+    clock_offset: float = NEVER
+    offset_at: float = 0.0
+    echo_sent_at: float = 0.0
+    echo_received_at: float = 0.0
+    config_revision: int = -1
+    vm_list_digest: int = 0
+    log_read_at: float = NEVER
--- /dev/null
+++ b/wisteriagw/membership/_membership_state.py
@@ -0,0 +1,47 @@
+"""Membership as one VM sees it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from wisteriagw.membership._heard_digest import HeardDigest
+    from wisteriagw.membership._heard_summary import HeardSummary
+    from wisteriagw.membership._member import Member
+
+
+class MembershipState(NamedTuple):
+    """Members and what was heard of them.
+
+    Attributes
+    ----------
+    vm, data_centre : str
+        The VM whose view this is.
+    incarnation : int
+        Rises with every start of the process.
+    started_at : float
+        Start of the process.
+    vm_list_digest : int
+        Digest of the VM list in use.
+    members : dict of str to Member
+        All VMs on the list, the own one included.
+    watching_since : float
+        Silence of others is counted from here at the earliest.
+    last_tick_at : float
+        Last time at which the view was brought up to date.
+    digests : dict of str to HeardDigest
+        By data centre; only a relay holds any.
+    summaries : dict of str to HeardSummary
+        By relay of the own data centre.
+    """
+
+    vm: str
+    data_centre: str
+    incarnation: int
+    started_at: float
+    vm_list_digest: int
+    members: dict[str, Member]
+    watching_since: float
+    last_tick_at: float
+    digests: dict[str, HeardDigest]
+    summaries: dict[str, HeardSummary]
--- /dev/null
+++ b/wisteriagw/membership/_probes.py
@@ -0,0 +1,59 @@
+"""Indirect probes of suspected VMs."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wisteriagw.membership._links import list_direct_peers
+from wisteriagw.membership._member import NEVER
+from wisteriagw.membership._probe import Probe
+from wisteriagw.membership._rendezvous import rank_names
+from wisteriagw.membership._status import FAIL_SECONDS, SUSPECT_SECONDS
+
+if TYPE_CHECKING:
+    from wisteriagw.membership._membership_state import MembershipState
+
+PEERS_PER_PROBE = 2
+# A VM that stays silent is probed rarely, so that a slow link is noticed to be alive.
+FAILED_PROBE_SECONDS = 5
+
+
+def choose_probes(state: MembershipState, now: float) -> list[Probe]:
+    """Return which peers to ask for which silent VMs, two for each."""
+    probes: list[Probe] = []
+    peers = list_direct_peers(state)
+    fresh = [vm for vm in peers if not _is_silent(state, vm, now)]
+    for vm in peers:
+        if not _is_silent(state, vm, now):
+            continue
+        silence = now - max(state.members[vm].heard_at, state.watching_since)
+        if silence > FAIL_SECONDS and int(now) % FAILED_PROBE_SECONDS:
+            vouched = now - state.members[vm].vouched_at < FAIL_SECONDS
+            if not vouched:
+                continue
+        key = f"probe {vm} {int(now)}"
+        for peer in rank_names(key, fresh)[:PEERS_PER_PROBE]:
+            probes.append(Probe(peer, vm))
+    return probes
+
+
+def decide_probe_answer(
+    state: MembershipState, target: str, now: float
+) -> tuple[int, float] | None:
+    """Return the incarnation and age to answer a probe with, or None for silence.
+
+    Only what this VM heard itself counts; an answer from hearsay could keep a dead VM
+    alive in a circle.
+    """
+    member = state.members.get(target)
+    if member is None or member.heard_at == NEVER:
+        return None
+    age = now - member.heard_at
+    if age >= SUSPECT_SECONDS:
+        return None
+    return member.incarnation, age
+
+
+def _is_silent(state: MembershipState, vm: str, now: float) -> bool:
+    heard = max(state.members[vm].heard_at, state.watching_since)
+    return now - heard >= SUSPECT_SECONDS
--- /dev/null
+++ b/wisteriagw/membership/_rendezvous.py
@@ -0,0 +1,22 @@
+"""Rendezvous hashing."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import xxhash
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+def rank_names(key: str, names: Iterable[str]) -> list[str]:
+    """Return names in the order of their hash with a key, best first.
+
+    The loss of a name moves only the keys that had it first, to evenly spread others.
+    """
+    return sorted(
+        names,
+        key=lambda name: (xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode()), name),
+        reverse=True,
+    )
--- a/wisteriagw/messages/_digest_push.py
+++ b/wisteriagw/messages/_digest_push.py
@@ -20,13 +20,16 @@
     vm_list_digest : int
         VM list under which the VMs were counted.
     count : int
-        Established VMs with this VM list.
+        VMs that are established, share this VM list and were heard recently.
+    lowest_revision, highest_revision : int
+        Lowest revision of the configuration that any counted VM holds, and highest
+        that any VM there holds.
     age_ms : int
-        Greatest age of what is known of them, in milliseconds.
-    highest_revision : int
-        Highest revision of the configuration that any VM there holds.
+        Greatest age of what is known of the counted VMs, in milliseconds.
     absent : tuple of str
         VMs there that get no callers: failed, suspected or leaving.
+    uncounted : tuple of str
+        VMs there that are not counted.
     signs : tuple
         As in ``Heartbeat``.
     """
@@ -35,7 +38,9 @@
     sent_at: float
     vm_list_digest: int
     count: int
-    age_ms: int
+    lowest_revision: int
     highest_revision: int
+    age_ms: int
     absent: tuple = ()
+    uncounted: tuple = ()
     signs: tuple = ()
--- a/wisteriagw/platform/_vm_entry.py
+++ b/wisteriagw/platform/_vm_entry.py
@@ -16,9 +16,13 @@
         IP address.
     leaving : bool
         Whether the platform is about to take the VM away.
+    role : str
+        ``entry`` for the VMs that run this system's programs, ``backend`` for the VM
+        of a backend server.
     """
 
     name: str
     data_centre: str
     host: str
     leaving: bool
+    role: str = "entry"
