Add the mesh transport

WebSocket through the sans-I/O objects of websockets in one Twisted protocol for both ends. Each VM sends on the connection it opened, which avoids the choice between two connections of a pair at the price of twice the sockets. Frames over 1 MiB, frames to a peer whose transport buffer is full, and garbage are dropped and counted.

--- /dev/null
+++ b/wisteriagw/mesh/_backoff.py
@@ -0,0 +1,17 @@
+"""Delay before the next attempt to connect."""
+
+from __future__ import annotations
+
+FIRST_BACKOFF_SECONDS = 0.2
+# A peer that is back has to be reached well within the 6 s after which it counts as
+# failed.
+MAX_BACKOFF_SECONDS = 2.0
+
+
+def compute_backoff(failures: int, random_value: float) -> float:
+    """Return the delay after some failures; a random value in [0, 1) spreads it.
+
+    All peers lose a VM at the same moment, so half of the delay is random.
+    """
+    longest = min(MAX_BACKOFF_SECONDS, FIRST_BACKOFF_SECONDS * 2 ** min(failures, 10))
+    return longest * (0.5 + random_value / 2)
--- /dev/null
+++ b/wisteriagw/mesh/_mesh.py
@@ -0,0 +1,126 @@
+"""Mesh of one VM."""
+
+from __future__ import annotations
+
+import logging
+import random
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.protocol import Factory
+from websockets.server import ServerProtocol
+
+from wisteriagw.findings import Finding
+from wisteriagw.mesh._frame_protocol import MAX_FRAME_BYTES, FrameProtocol
+from wisteriagw.mesh._mesh_counters import MeshCounters
+from wisteriagw.mesh._peer_connection import PeerConnection
+from wisteriagw.messages import decode_message, encode_message
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from wisteriagw.mesh._peer_address import PeerAddress
+
+logger = logging.getLogger(__name__)
+
+PATH_PREFIX = "/mesh/"
+
+
+class Mesh:
+    """Sends messages to peers and passes on those that arrive.
+
+    Each VM opens a connection to every peer and sends only on that one, so that no two
+    connections between the same VMs have to be told apart. A message to a peer that is
+    not connected, or that does not keep up, is dropped and counted.
+    """
+
+    def __init__(self, reactor: Any, vm: str) -> None:
+        self.counters = MeshCounters()
+        self._reactor = reactor
+        self._vm = vm
+        self._connections: dict[str, PeerConnection] = {}
+        self._handlers: dict[type, list[Callable[[str, Any], None]]] = {}
+        # Only spreads reconnects; it is seeded by the operating system.
+        self._random = random.Random()
+
+    def listen(self, host: str, port: int) -> Any:
+        """Accept connections of peers; returns the listening port."""
+        factory = Factory.forProtocol(self._build_server_protocol)
+        return self._reactor.listenTCP(port, factory, interface=host)
+
+    def set_peers(self, peers: Iterable[PeerAddress]) -> None:
+        """Connect to these peers and to no others."""
+        wanted = {peer.vm: peer for peer in peers if peer.vm != self._vm}
+        for vm, connection in list(self._connections.items()):
+            if wanted.get(vm) != connection.address:
+                connection.stop()
+                del self._connections[vm]
+        for vm, peer in wanted.items():
+            if vm in self._connections:
+                continue
+            connection = PeerConnection(self._reactor, self._vm, peer, self._random)
+            self._connections[vm] = connection
+            connection.start()
+
+    def send(self, vm: str, message: Any) -> bool:
+        """Send a message to a peer; False if it was dropped."""
+        return self._send_data(vm, encode_message(message))
+
+    def broadcast(self, message: Any) -> None:
+        """Send a message to all connected peers."""
+        data = encode_message(message)
+        for vm in self._connections:
+            self._send_data(vm, data)
+
+    def subscribe(
+        self, message_type: type, handler: Callable[[str, Any], None]
+    ) -> None:
+        """Call ``handler(sender, message)`` for each message of a type."""
+        self._handlers.setdefault(message_type, []).append(handler)
+
+    def close(self) -> None:
+        """End all outgoing connections."""
+        self.set_peers(())
+
+    def receive(self, sender: str, data: bytes) -> None:
+        """Decode a frame and pass the message on; nothing in it ends the process."""
+        self.counters.received_messages += 1
+        self.counters.received_bytes += len(data)
+        message = decode_message(data, f"frame of {sender}")
+        if isinstance(message, Finding):
+            self._count_garbage()
+            logger.warning("dropped %s: %s", message.place, message.message)
+            return
+        for handler in self._handlers.get(type(message), ()):
+            try:
+                handler(sender, message)
+            except Exception:
+                # A peer of another version may send values that a handler cannot use.
+                self.counters.failed_handlers += 1
+                logger.exception("cannot handle %s", type(message).__name__)
+
+    def _send_data(self, vm: str, data: bytes) -> bool:
+        connection = self._connections.get(vm)
+        if connection is None or not connection.send(data):
+            self.counters.dropped_messages += 1
+            return False
+        self.counters.sent_messages += 1
+        self.counters.sent_bytes += len(data)
+        return True
+
+    def _build_server_protocol(self) -> FrameProtocol:
+        sender = ""
+
+        def open_connection(path: str) -> None:
+            nonlocal sender
+            sender = path.removeprefix(PATH_PREFIX)
+
+        return FrameProtocol(
+            ServerProtocol(max_size=MAX_FRAME_BYTES),
+            open_connection,
+            lambda data: self.receive(sender, data),
+            self._count_garbage,
+            lambda: None,
+        )
+
+    def _count_garbage(self) -> None:
+        self.counters.garbage_frames += 1
