Wire membership, the mesh and the serving permit into the entry program

Peers use the same mesh port, so one setting gives it; their hosts come from the VM list. An empty VM list is taken for a fault and the last one kept. A VM that has seen no list has no vote.

--- /dev/null
+++ b/features/membership.feature
@@ -0,0 +1,19 @@
+Feature: Entry VMs that are killed or cut off
+
+  Scenario: A killed entry VM leaves the answers and returns after a restart
+    Given a mesh of 3 entry VMs
+    When entry VM 2 is killed
+    Then entry VM 1 names the entry VMs 1, 3 within 5 s
+    When entry VM 2 is started again
+    Then entry VM 1 names the entry VMs 1, 2, 3 within 10 s
+
+  Scenario: A VM without the log serves through its peers, and without both not at all
+    Given a mesh of 3 entry VMs
+    When entry VM 2 is cut off from the log
+    And an operator withdraws the key and gives another at entry VM 1
+    And 5 seconds pass
+    Then entry VM 2 serves the new key and refuses the old one
+    When entry VM 1 is killed
+    And entry VM 3 is killed
+    And 4 seconds pass
+    Then entry VM 2 refuses with no_permit and says not run
--- a/features/steps/_programs.py
+++ b/features/steps/_programs.py
@@ -30,6 +30,12 @@
             self.addresses[name] = f"127.0.0.1:{probe.getsockname()[1]}"
         return self.addresses[name]
 
+    def stop(self, name: str) -> None:
+        """Kill one process."""
+        process = self.processes.pop(name)
+        process.kill()
+        process.wait()
+
     def start(self, name: str, program: str, *arguments: str) -> None:
         """Start a program."""
         self.processes[name] = subprocess.Popen(
--- a/tests/support/_simulated_vm.py
+++ b/tests/support/_simulated_vm.py
@@ -28,5 +28,6 @@
     follower = StreamFollower(
         log, "config", build_empty_config(), apply_record, clock, history
     )
-    state = build_membership(name, data_centre, "127.0.0.1", incarnation, clock())
+    now = clock()
+    state = build_membership(name, data_centre, "127.0.0.1", incarnation, now)
     return SimulatedVm(Membership(state, follower, history, clock, send), log, [])
--- a/wisteriagw/entry/_addresses_resource.py
+++ b/wisteriagw/entry/_addresses_resource.py
@@ -8,6 +8,7 @@
 from twisted.web.server import NOT_DONE_YET
 
 from wisteriagw.http import write_json
+from wisteriagw.membership import choose_entry_vms
 
 if TYPE_CHECKING:
     from twisted.web.server import Request
@@ -28,12 +29,23 @@
 
     def render_GET(self, request: Request) -> Any:
         """Answer with the addresses and how long they may be used."""
-        addresses = self._context.settings["entry-addresses"] or (
-            self._context.settings["listen"],
-        )
+        addresses = self._list_addresses(request)
         answer = {
             "addresses": [f"{host}:{port}" for host, port in addresses],
             "valid_seconds": ADDRESSES_VALID_SECONDS,
         }
         write_json(request, 200, answer)
         return NOT_DONE_YET
+
+    def _list_addresses(self, request: Request) -> list[tuple[str, int]]:
+        settings = self._context.settings
+        host, port = settings["listen"]
+        if settings["vm-list"] is None:
+            return list(settings["entry-addresses"] or ((host, port),))
+        # All VMs run the same programs with the same ports.
+        chosen = choose_entry_vms(
+            request.getClientAddress().host,
+            settings["data-centre"],
+            self._context.membership.list_available(),
+        )
+        return [(member.host, port) for member in chosen] or [(host, port)]
--- a/wisteriagw/entry/_chat_resource.py
+++ b/wisteriagw/entry/_chat_resource.py
@@ -13,6 +13,7 @@
 from wisteriagw.entry._authentication import authenticate
 from wisteriagw.entry._chat_request import parse_chat_request
 from wisteriagw.entry._generation_opening import connect_stream
+from wisteriagw.entry._permit_check import refuse_without_permit
 from wisteriagw.entry._stream_sink import StreamSink
 from wisteriagw.entry._whole_sink import WholeSink
 from wisteriagw.http import read_json_object, write_error
@@ -40,6 +41,8 @@
 
     def render_POST(self, request: Request) -> Any:
         """Generate an answer to a prompt."""
+        if refuse_without_permit(request, self._context.membership):
+            return NOT_DONE_YET
         customer = authenticate(request, self._context.config)
         if customer is None:
             write_error(request, 401, "invalid_key", "no valid key", not_run=True)
@@ -84,6 +87,8 @@
         opened = context.client.open(
             address, "POST", "/generate", json.dumps(body).encode("utf-8")
         )
+        if chat.stream:
+            context.open_streams.add(request)
         sink_type = StreamSink if chat.stream else WholeSink
         sink = sink_type(request, request_id, chat.model)
         position = StreamPosition(attempt.encode("ascii"), 0)
--- a/wisteriagw/entry/_entry_context.py
+++ b/wisteriagw/entry/_entry_context.py
@@ -5,7 +5,10 @@
 from typing import TYPE_CHECKING, Any
 
 from wisteriagw.config import apply_record, build_empty_config
-from wisteriagw.follower import StreamFollower
+from wisteriagw.entry._open_streams import OpenStreams
+from wisteriagw.entry._own_state import build_own_state
+from wisteriagw.follower import RecordHistory, StreamFollower
+from wisteriagw.membership import Membership
 from wisteriagw.routing import BackendView
 from wisteriagw.settings import AddressKind, parse_value
 
@@ -15,9 +18,13 @@
 
     from wisteriagw.config import ConfigState, RouteRow
     from wisteriagw.http import HttpClient
+    from wisteriagw.membership import Confirmation
+    from wisteriagw.mesh import Mesh
     from wisteriagw.platform import LogClient
 
 CONFIG_STREAM = "config"
+# A quarter of the 32 MB for all control work.
+MAX_HISTORY_BYTES = 8 * 1024 * 1024
 
 
 class EntryContext:
@@ -36,15 +43,34 @@
         self.log = log
         self.clock = clock
         self.running = running
+        history = RecordHistory(MAX_HISTORY_BYTES)
         self.config_follower = StreamFollower(
-            log, CONFIG_STREAM, build_empty_config(), apply_record, clock
+            log, CONFIG_STREAM, build_empty_config(), apply_record, clock, history
         )
+        self.mesh: Mesh | None = None
+        self.membership = Membership(
+            build_own_state(settings, clock()),
+            self.config_follower,
+            history,
+            clock,
+            self.send_message,
+        )
+        self.open_streams = OpenStreams()
 
     @property
     def config(self) -> ConfigState:
         """The configuration as far as it was read."""
         return self.config_follower.state
 
+    def send_message(self, vm: str, message: Any) -> None:
+        """Send a message to another entry VM, or lose it."""
+        if self.mesh is not None:
+            self.mesh.send(vm, message)
+
+    def list_confirmations(self) -> list[Confirmation]:
+        """Return what every entry VM on the VM list is known to hold."""
+        return self.membership.list_confirmations()
+
     def list_views(self) -> list[BackendView]:
         """Return the backend servers as the routing decision sees them."""
         views = []
@@ -55,7 +81,8 @@
                 serves=row["serves"],
                 role=row["role"],
                 reclaimable=row["reclaimable"],
-                leaving=row["name"] in self.config.draining,
+                leaving=row["name"] in self.config.draining
+                or self.membership.is_backend_leaving(row["name"]),
                 running_streams=self.running[row["name"]],
             )
             views.append(view)
--- a/wisteriagw/entry/_health_resource.py
+++ b/wisteriagw/entry/_health_resource.py
@@ -34,6 +34,10 @@
             "vm": self._context.settings["vm"],
             "config_revision": follower.state.revision,
             "config_read_age_seconds": age,
+            "permit": self._context.membership.get_permit().basis,
+            "available_vms": sorted(
+                member.vm for member in self._context.membership.list_available()
+            ),
         }
         write_json(request, 200, answer)
         return NOT_DONE_YET
--- a/wisteriagw/entry/_main.py
+++ b/wisteriagw/entry/_main.py
@@ -16,6 +16,7 @@
 from wisteriagw.entry._chat_resource import ChatResource
 from wisteriagw.entry._entry_context import EntryContext
 from wisteriagw.entry._health_resource import HealthResource
+from wisteriagw.entry._membership_wiring import start_membership
 from wisteriagw.entry._operators_resource import OperatorsResource
 from wisteriagw.entry._options import OPTIONS
 from wisteriagw.entry._requests_resource import RequestsResource
@@ -40,6 +41,7 @@
     context = EntryContext(settings, client, log, read_boot_time, Counter())
     polling = LoopingCall(_poll_config, context)
     polling.start(settings["config-poll-seconds"])
+    start_membership(context, reactor)
     _listen(settings["listen"], build_caller_root(context))
     operators = Resource()
     operators.putChild(b"v1", OperatorsResource(context))
--- /dev/null
+++ b/wisteriagw/entry/_membership_wiring.py
@@ -0,0 +1,106 @@
+"""Connection of membership with the mesh, the VM list and the clock."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.task import LoopingCall
+
+from wisteriagw.entry._permit_watch import PermitWatch, watch_permit
+from wisteriagw.membership import (
+    HEARTBEAT_SECONDS,
+    list_direct_peers,
+    list_relay_peers,
+)
+from wisteriagw.mesh import Mesh, PeerAddress
+from wisteriagw.messages import (
+    ConfigRecords,
+    ConfigRequest,
+    DigestPush,
+    Heartbeat,
+    ProbeReply,
+    ProbeRequest,
+)
+from wisteriagw.platform import VmListClient, VmListUnavailableError
+
+if TYPE_CHECKING:
+    from collections.abc import Generator
+
+    from twisted.internet.defer import Deferred
+
+    from wisteriagw.entry._entry_context import EntryContext
+
+logger = logging.getLogger(__name__)
+
+DEFAULT_MESH_PORT = 7860
+VM_LIST_POLL_SECONDS = 1.0
+PERMIT_CHECK_SECONDS = 0.25
+MESSAGE_TYPES = (
+    ConfigRecords,
+    ConfigRequest,
+    DigestPush,
+    Heartbeat,
+    ProbeReply,
+    ProbeRequest,
+)
+
+
+def start_membership(context: EntryContext, reactor: Any) -> None:
+    """Start what keeps the membership of an entry process up to date."""
+    _start_permit_watch(context)
+    settings = context.settings
+    if settings["vm-list"] is None:
+        return
+    host, port = settings["mesh-listen"] or (settings["listen"][0], DEFAULT_MESH_PORT)
+    mesh = Mesh(reactor, settings["vm"])
+    mesh.listen(host, port)
+    context.mesh = mesh
+    for message_type in MESSAGE_TYPES:
+        mesh.subscribe(message_type, context.membership.handle)
+    client = VmListClient(context.client, settings["vm-list"])
+    LoopingCall(_poll_vm_list, context, client).start(VM_LIST_POLL_SECONDS)
+    LoopingCall(_tick, context, mesh, port).start(HEARTBEAT_SECONDS)
+
+
+def _tick(context: EntryContext, mesh: Mesh, port: int) -> None:
+    membership = context.membership
+    state = membership.state
+    names = [
+        *list_direct_peers(state),
+        *list_relay_peers(state, membership.clock()),
+    ]
+    mesh.set_peers(PeerAddress(vm, state.members[vm].host, port) for vm in names)
+    membership.tick()
+
+
+@inlineCallbacks
+def _poll_vm_list(
+    context: EntryContext, client: VmListClient
+) -> Generator[Deferred[Any], Any, None]:
+    try:
+        entries = yield client.list_vms()
+    except VmListUnavailableError as error:
+        logger.warning("the VM list cannot be read, the last one is kept: %s", error)
+        return
+    if not entries:
+        logger.warning("the VM list is empty, the last one is kept")
+        return
+    context.membership.set_vm_list(entries)
+
+
+def _start_permit_watch(context: EntryContext) -> None:
+    watch = PermitWatch()
+
+    def check() -> None:
+        nonlocal watch
+        held = context.membership.get_permit().held
+        watch, must_end = watch_permit(watch, held=held, now=context.clock())
+        if must_end and len(context.open_streams):
+            logger.warning(
+                "no serving permit, %d streams end", len(context.open_streams)
+            )
+            context.open_streams.end_all()
+
+    LoopingCall(check).start(PERMIT_CHECK_SECONDS)
--- a/wisteriagw/entry/_options.py
+++ b/wisteriagw/entry/_options.py
@@ -17,11 +17,24 @@
     Option("listen", AddressKind(), None, "Address for callers."),
     Option("operator-listen", AddressKind(), None, "Address for operators."),
     Option("log", AddressKind(), None, "Address of the platform's log."),
+    Option(
+        "vm-list",
+        AddressKind(),
+        "",
+        "Address of the platform's VM list; without it the process serves alone.",
+    ),
+    Option(
+        "mesh-listen",
+        AddressKind(),
+        "",
+        "Address for other entry VMs, whose mesh port is the same. Without it, port "
+        "7860 of the host of --listen is used.",
+    ),
     Option(
         "entry-addresses",
         AddressListKind(),
         "",
-        "Caller addresses of all entry VMs, for the answers to callers.",
+        "Caller addresses of all entry VMs, used only without --vm-list.",
     ),
     Option(
         "config-poll-seconds",
--- /dev/null
+++ b/wisteriagw/entry/_permit_check.py
@@ -0,0 +1,21 @@
+"""Refusal of work without a serving permit."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wisteriagw.http import write_error
+
+if TYPE_CHECKING:
+    from twisted.web.server import Request
+
+    from wisteriagw.membership import Membership
+
+
+def refuse_without_permit(request: Request, membership: Membership) -> bool:
+    """Refuse a request if this VM may not serve; returns whether it did."""
+    if membership.get_permit().held:
+        return False
+    message = "this VM is cut off and may hold an old configuration"
+    write_error(request, 503, "no_permit", message, not_run=True)
+    return True
--- a/wisteriagw/entry/_requests_resource.py
+++ b/wisteriagw/entry/_requests_resource.py
@@ -12,6 +12,7 @@
 from wisteriagw.backends import StreamPosition
 from wisteriagw.entry._authentication import authenticate
 from wisteriagw.entry._generation_opening import connect_stream
+from wisteriagw.entry._permit_check import refuse_without_permit
 from wisteriagw.entry._stream_sink import StreamSink
 from wisteriagw.http import write_error
 
@@ -34,6 +35,8 @@
 
     def render_GET(self, request: Request) -> Any:
         """Resume the stream after the last event that the caller has."""
+        if refuse_without_permit(request, self._context.membership):
+            return NOT_DONE_YET
         customer = authenticate(request, self._context.config)
         if customer is None:
             write_error(request, 401, "invalid_key", "no valid key", not_run=True)
@@ -51,6 +54,7 @@
         query = urlencode({"customer": customer, "attempt": attempt, "from": start})
         path = f"/requests/{quote(request_id, safe='')}?{query}"
         opened = self._context.client.open(address, "GET", path)
+        self._context.open_streams.add(request)
         sink = StreamSink(request, request_id, "")
         position = StreamPosition(attempt.encode("ascii"), start)
         connect_stream(request, opened, sink, position, handle)
--- a/wisteriagw/entry/_service_resource.py
+++ b/wisteriagw/entry/_service_resource.py
@@ -9,6 +9,7 @@
 from twisted.web.server import NOT_DONE_YET
 
 from wisteriagw.entry._authentication import authenticate
+from wisteriagw.entry._permit_check import refuse_without_permit
 from wisteriagw.http import write_error
 from wisteriagw.outcomes import Done, MayHaveRun
 from wisteriagw.routing import RouteRequest, choose_backend_server
@@ -36,6 +37,8 @@
 
     def render(self, request: Request) -> Any:
         """Pass a call on to the service."""
+        if refuse_without_permit(request, self._context.membership):
+            return NOT_DONE_YET
         parts = request.path.decode("latin-1").split("/", 4)
         service = parts[3] if len(parts) > 3 else ""
         path = "/" + (parts[4] if len(parts) > 4 else "")
--- a/wisteriagw/membership/_confirmations.py
+++ b/wisteriagw/membership/_confirmations.py
@@ -26,6 +26,8 @@
     confirmations = []
     for member in state.members.values():
         if member.vm == state.vm:
+            if not state.listed:
+                continue
             held = revision if established else -1
             own = Confirmation(state.vm, state.vm_list_digest, held, now)
             confirmations.append(own)
--- a/wisteriagw/membership/_membership.py
+++ b/wisteriagw/membership/_membership.py
@@ -121,8 +121,9 @@
             log_read_at=log_read_at,
             established=self._established,
             started_at=self.state.started_at,
-            listed_vms=len(self.state.members),
+            listed_vms=len(self.state.members) - int(not self.state.listed),
             evidence=() if fresh else list_evidence(self.state, now),
+            own_votes=int(self.state.listed),
         )
         permit = decide_permit(view, now)
         self._established = permit.established
@@ -131,7 +132,7 @@
     def list_available(self) -> list[Member]:
         """Return the VMs that may be named to callers."""
         available = list_available(self.state, self.clock())
-        if not self.leaving:
+        if not self.leaving and self.get_permit().held:
             return available
         return [member for member in available if member.vm != self.state.vm]
 
--- a/wisteriagw/membership/_membership_state.py
+++ b/wisteriagw/membership/_membership_state.py
@@ -23,6 +23,8 @@
         Start of the process.
     vm_list_digest : int
         Digest of the VM list in use.
+    listed : bool
+        Whether the own VM is on that list; only then has it a vote.
     members : dict of str to Member
         All VMs on the list, the own one included.
     watching_since : float
@@ -40,6 +42,7 @@
     incarnation: int
     started_at: float
     vm_list_digest: int
+    listed: bool
     members: dict[str, Member]
     watching_since: float
     last_tick_at: float
--- a/wisteriagw/membership/_permit_decision.py
+++ b/wisteriagw/membership/_permit_decision.py
@@ -30,7 +30,7 @@
             continue
         if view.revision >= evidence.revision:
             return Permit("peer", established)
-    if established and agrees_with_majority(view, 1, now):
+    if established and agrees_with_majority(view, view.own_votes, now):
         return Permit("majority", established)
     return Permit("", established)
 
--- a/wisteriagw/membership/_permit_view.py
+++ b/wisteriagw/membership/_permit_view.py
@@ -25,6 +25,8 @@
         Number of VMs on its VM list.
     evidence : tuple of Evidence
         What is proved of other VMs.
+    own_votes : int
+        1 if this VM is on the list itself, else 0.
     """
 
     revision: int
@@ -33,3 +35,4 @@
     started_at: float
     listed_vms: int
     evidence: tuple[Evidence, ...]
+    own_votes: int = 1
--- a/wisteriagw/membership/_updates.py
+++ b/wisteriagw/membership/_updates.py
@@ -24,15 +24,25 @@
 
 
 def build_membership(
-    vm: str, data_centre: str, host: str, incarnation: int, now: float
+    vm: str,
+    data_centre: str,
+    host: str,
+    incarnation: int,
+    now: float,
+    *,
+    alone: bool = False,
 ) -> MembershipState:
-    """Return the view of a VM that knows of no other."""
+    """Return the view of a VM that knows of no other.
+
+    Unless it is meant to be alone, it has no vote before it has seen a VM list.
+    """
     return MembershipState(
         vm=vm,
         data_centre=data_centre,
         incarnation=incarnation,
         started_at=now,
         vm_list_digest=0,
+        listed=alone,
         members={vm: Member(vm, data_centre, host)},
         watching_since=now,
         last_tick_at=now,
@@ -59,9 +69,12 @@
             host=entry.host,
             listed_leaving=entry.leaving,
         )
+    listed_self = state.vm in members
     members.setdefault(state.vm, state.members[state.vm])
     return state._replace(
-        members=members, vm_list_digest=compute_vm_list_digest(listed)
+        members=members,
+        vm_list_digest=compute_vm_list_digest(listed),
+        listed=listed_self,
     )
 
 
