--- a/wisteriagw/membership/_links.py
+++ b/wisteriagw/membership/_links.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from wisteriagw.membership._status import get_status
+from wisteriagw.membership._status import SUSPECT_SECONDS, get_status
 from wisteriagw.membership._topology import (
     choose_pair_relay,
     is_split,
@@ -45,8 +45,19 @@
         if choose_pair_relay(own, other, present[own]) != state.vm:
             continue
         # A data centre that is not heard of is tried at its usual relay.
-        vms = present.get(other) or listed[other]
-        peer = choose_pair_relay(other, own, vms)
-        if peer is not None:
-            peers.append(peer)
+        usual = choose_pair_relay(other, own, present.get(other) or listed[other])
+        peers.extend(sorted({usual, *_list_speakers(state, other, now)} - {None}))
     return peers
+
+
+def _list_speakers(state: MembershipState, other: str, now: float) -> list[str]:
+    """Return the VMs of another data centre that speak to this one now.
+
+    After the loss of its relays the other side has a new one that is not known here;
+    without an answer that echoes its clock, nothing it says could be dated.
+    """
+    return [
+        member.vm
+        for member in state.members.values()
+        if member.data_centre == other and now - member.heard_at < SUSPECT_SECONDS
+    ]
