--- a/tests/support/__init__.py
+++ b/tests/support/__init__.py
@@ -17,6 +17,9 @@
 from tests.support._scripted_peer import (
     ScriptedPeer,
 )
+from tests.support._simulated_mesh import (
+    SimulatedMesh,
+)
 from tests.support._virtual_clock import (
     VirtualClock,
 )
@@ -27,5 +30,6 @@
     "MemoryLog",
     "RecordingStore",
     "ScriptedPeer",
+    "SimulatedMesh",
     "VirtualClock",
 ]
--- a/wisteriagw/entry/_chat_resource.py
+++ b/wisteriagw/entry/_chat_resource.py
@@ -17,6 +17,7 @@
 )
 from wisteriagw.entry._generation_plan import GenerationPlan
 from wisteriagw.entry._generation_relay import GenerationRelay
+from wisteriagw.entry._permit_check import refuse_without_permit
 from wisteriagw.entry._stream_sink import StreamSink
 from wisteriagw.entry._whole_sink import WholeSink
 from wisteriagw.http import read_json_object, write_error
@@ -43,6 +44,8 @@
     def render_POST(self, request: Request) -> Any:
         """Generate an answer to a prompt."""
         context = self._context
+        if refuse_without_permit(request, context.membership, not_run=True):
+            return NOT_DONE_YET
         customer = authenticate(request, context.config)
         if customer is None:
             write_error(request, 401, "invalid_key", "no valid key", not_run=True)
@@ -66,6 +69,8 @@
             write_error(request, 404, "unknown_model", message, not_run=True)
             return NOT_DONE_YET
         request_id = secrets.token_hex(REQUEST_ID_BYTES)
+        if chat.stream:
+            context.open_streams.add(request)
         sink_type = StreamSink if chat.stream else WholeSink
         sink = sink_type(request, request_id, chat.model)
         plan = GenerationPlan(request_id, customer, chat, deadline)
--- a/wisteriagw/entry/_requests_resource.py
+++ b/wisteriagw/entry/_requests_resource.py
@@ -15,6 +15,7 @@
 )
 from wisteriagw.entry._generation_plan import GenerationPlan
 from wisteriagw.entry._generation_relay import GenerationRelay
+from wisteriagw.entry._permit_check import refuse_without_permit
 from wisteriagw.entry._stream_sink import StreamSink
 from wisteriagw.http import write_error
 
@@ -41,6 +42,8 @@
     def render_GET(self, request: Request) -> Any:
         """Resume the stream after the last event that the caller has."""
         context = self._context
+        if refuse_without_permit(request, context.membership, not_run=False):
+            return NOT_DONE_YET
         customer = authenticate(request, context.config)
         if customer is None:
             write_error(request, 401, "invalid_key", "no valid key", not_run=False)
@@ -60,6 +63,7 @@
         if context.get_address(backend_server) is None or not request_id:
             write_error(request, 404, "not_found", "unknown request", not_run=False)
             return NOT_DONE_YET
+        context.open_streams.add(request)
         sink = StreamSink(request, request_id, "")
         plan = GenerationPlan(request_id, customer, None, deadline)
         GenerationRelay(context, request, sink, plan).resume(backend_server, start)
--- a/wisteriagw/entry/_service_resource.py
+++ b/wisteriagw/entry/_service_resource.py
@@ -16,6 +16,7 @@
     SERVICE_DEADLINE_SECONDS,
     read_deadline,
 )
+from wisteriagw.entry._permit_check import refuse_without_permit
 from wisteriagw.entry._result_answers import write_result
 from wisteriagw.entry._service_call import ServiceCall
 from wisteriagw.entry._service_path import parse_service_path
@@ -45,6 +46,8 @@
 
     def render(self, request: Request) -> Any:
         """Pass a call on to the service."""
+        if refuse_without_permit(request, self._context.membership, not_run=True):
+            return NOT_DONE_YET
         now = self._context.clock()
         try:
             place = parse_service_path(request.uri)
--- a/wisteriagw/follower/_stream_follower.py
+++ b/wisteriagw/follower/_stream_follower.py
@@ -15,6 +15,7 @@
 
     from twisted.internet.defer import Deferred
 
+    from wisteriagw.follower._record_history import RecordHistory
     from wisteriagw.platform import LogClient, LogRecord
 
 logger = logging.getLogger(__name__)
@@ -40,6 +41,8 @@
     lose_records : callable, optional
         ``lose_records(state, first_offset)`` returns the state after records before
         ``first_offset`` were removed from the log before they were read.
+    history : RecordHistory, optional
+        Keeps the records that were applied, for peers that cannot read the log.
     """
 
     def __init__(
@@ -50,6 +53,7 @@
         apply: Callable[[Any, Any, int], Any],
         clock: Callable[[], float],
         lose_records: Callable[[Any, int], Any] | None = None,
+        history: RecordHistory | None = None,
     ) -> None:
         self.stream = stream
         self.state = state
@@ -62,6 +66,7 @@
         self._apply = apply
         self._clock = clock
         self._lose_records = lose_records
+        self._history = history
 
     @inlineCallbacks
     def poll(self) -> Generator[Deferred[Any], Any, None]:
@@ -74,7 +79,7 @@
             started = self._clock()
             page = yield self._client.read(self.stream, self.next_offset, PAGE_RECORDS)
             self._skip_lost(page.first_offset)
-            self._apply_page(page.records)
+            self.apply_records(page.records)
             if self.next_offset >= page.next_offset:
                 self.last_tip_read_at = started
                 return
@@ -87,11 +92,14 @@
         if self._lose_records is not None:
             self.state = self._lose_records(self.state, first_offset)
 
-    def _apply_page(self, records: tuple[LogRecord, ...]) -> None:
+    def apply_records(self, records: tuple[LogRecord, ...]) -> None:
+        """Apply records in offset order; those applied before change nothing."""
         for offset, data in records:
             if offset < self.next_offset:
                 continue
             self.next_offset = offset + 1
+            if self._history is not None:
+                self._history.add(offset, data)
             record = decode_record(data, f"{self.stream}@{offset}")
             if isinstance(record, Finding):
                 logger.warning("skipped %s: %s", record.place, record.message)
