Add checkpoints and recovery from them

A VM keeps nothing, and the log keeps a limited part of each stream, so a fresh reader could not rebuild a state whose first records are gone. StreamFollower now starts from a checkpoint when its next record is gone or the tip is more than 2,000 records away, and reports state_incomplete when there is no whole one. It then keeps its state and the age of its last tip read, so that a serving permit lapses.

The search goes from the tip backwards in doubling windows; a scan of the whole stream would grow with the stream. The writer is due after 1,000 records, half of the retained records, or half of the retained time. Parts of the newest checkpoint do not count as records, because each checkpoint would cause the next one otherwise.

--- a/tests/support/_memory_log.py
+++ b/tests/support/_memory_log.py
@@ -56,6 +56,10 @@
             return fail(LogUnavailableError("down"))
         return succeed(self.store.read(stream, start, limit))
 
+    def tip(self, stream: str) -> int:
+        """Return the offset that the next append gets."""
+        return self.store.read(stream, 0, 0).next_offset
+
     def release(self) -> None:
         """Let the held appends take effect, in their order."""
         held, self._held = self._held, []
--- /dev/null
+++ b/wisteriagw/checkpoints/__init__.py
@@ -0,0 +1,29 @@
+"""Checkpoints: parts, their digest, the choice of one, and when to write one."""
+
+from __future__ import annotations
+
+from wisteriagw.checkpoints._checkpoint import Checkpoint
+from wisteriagw.checkpoints._checkpoint_codec import CheckpointCodec
+from wisteriagw.checkpoints._checkpoint_progress import CheckpointProgress
+from wisteriagw.checkpoints._choice import choose_checkpoint
+from wisteriagw.checkpoints._collection import (
+    PartCollection,
+    add_part,
+    build_collection,
+)
+from wisteriagw.checkpoints._due import is_checkpoint_due
+from wisteriagw.checkpoints._parts import split_state
+from wisteriagw.checkpoints._retention import Retention
+
+__all__ = [
+    "Checkpoint",
+    "CheckpointCodec",
+    "CheckpointProgress",
+    "PartCollection",
+    "Retention",
+    "add_part",
+    "build_collection",
+    "choose_checkpoint",
+    "is_checkpoint_due",
+    "split_state",
+]
--- /dev/null
+++ b/wisteriagw/checkpoints/_checkpoint.py
@@ -0,0 +1,23 @@
+"""A whole checkpoint."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class Checkpoint(NamedTuple):
+    """An encoded state whose digest was checked.
+
+    Attributes
+    ----------
+    through : int
+        Offset of the last record that the state includes.
+    parts : int
+        Number of log records that hold it.
+    data : bytes
+        The encoded state.
+    """
+
+    through: int
+    parts: int
+    data: bytes
--- a/wisteriagw/config/_config_state.py
+++ b/wisteriagw/config/_config_state.py
@@ -25,6 +25,8 @@
         Customer of each valid key, by the SHA-256 of the key.
     draining : frozenset of str
         Backend servers that shall get no new work.
+    sheet_operator : str
+        Operator who published the sheet in force.
     """
 
     revision: int
@@ -33,3 +35,4 @@
     customers: frozenset[str]
     key_customers: dict[bytes, str]
     draining: frozenset[str]
+    sheet_operator: str = ""
--- a/wisteriagw/config/_fold.py
+++ b/wisteriagw/config/_fold.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from wisteriagw.config._config_state import ConfigState
+from wisteriagw.config._refusals import find_refusal
 from wisteriagw.records import (
     CustomerCreated,
     DrainEnded,
@@ -34,6 +35,8 @@
     """Return the configuration after a record; older offsets change nothing."""
     if offset <= state.revision:
         return state
+    if find_refusal(record, state) is not None:
+        return state._replace(revision=offset)
     return _apply(record, state, offset)._replace(revision=offset)
 
 
@@ -49,8 +52,6 @@
 
 @_apply.register
 def _(record: KeyGiven, state: ConfigState, offset: int) -> ConfigState:
-    if record.customer not in state.customers:
-        return state
     keys = {**state.key_customers, record.key_hash: record.customer}
     return state._replace(key_customers=keys)
 
@@ -64,9 +65,9 @@
 
 @_apply.register
 def _(record: SheetPublished, state: ConfigState, offset: int) -> ConfigState:
-    if record.based_on != state.sheet_revision:
-        return state
-    return state._replace(sheet=record.sheet, sheet_revision=offset)
+    return state._replace(
+        sheet=record.sheet, sheet_revision=offset, sheet_operator=record.operator
+    )
 
 
 @_apply.register
--- a/wisteriagw/follower/_stream_follower.py
+++ b/wisteriagw/follower/_stream_follower.py
@@ -3,23 +3,29 @@
 from __future__ import annotations
 
 import logging
+from collections import deque
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import inlineCallbacks
 
+from wisteriagw.checkpoints import CheckpointProgress, add_part, build_collection
 from wisteriagw.findings import Finding
-from wisteriagw.records import decode_record
+from wisteriagw.follower._search import SEARCH_RECORDS, search_checkpoint
+from wisteriagw.records import CheckpointPart, decode_record
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Generator
 
     from twisted.internet.defer import Deferred
 
+    from wisteriagw.checkpoints import Checkpoint, CheckpointCodec
     from wisteriagw.platform import LogClient, LogRecord
 
 logger = logging.getLogger(__name__)
 
 PAGE_RECORDS = 500
+# A stream may hold any amount of garbage, so only the newest findings are kept.
+MAX_FINDINGS = 100
 
 
 class StreamFollower:
@@ -37,6 +43,15 @@
         ``apply(record, state, offset)`` returns the next state.
     clock : callable
         Returns the time in seconds; see ``wisteriagw.clocks.read_boot_time``.
+    codec : CheckpointCodec, optional
+        Encoding of the state in checkpoints. Without it no checkpoint is used, and the
+        records that the log still keeps are folded.
+
+    Attributes
+    ----------
+    state_incomplete : bool
+        Whether records are missing that the state should include. With a codec the
+        state then stays as it is, and ``last_tip_read_at`` too.
     """
 
     def __init__(
@@ -46,15 +61,30 @@
         state: Any,
         apply: Callable[[Any, Any, int], Any],
         clock: Callable[[], float],
+        codec: CheckpointCodec | None = None,
     ) -> None:
         self.stream = stream
         self.state = state
         self.next_offset = 0
         self.last_tip_read_at: float | None = None
-        self.findings: list[Finding] = []
+        self.findings: deque[Finding] = deque(maxlen=MAX_FINDINGS)
+        self.state_incomplete = False
+        self.codec = codec
         self._client = client
         self._apply = apply
         self._clock = clock
+        self._parts = build_collection(codec.fold if codec else "")
+        self._newest_seen_at = clock()
+        self._searched = False
+
+    @property
+    def progress(self) -> CheckpointProgress:
+        """How far the stream has grown since its newest whole checkpoint."""
+        newest = self._parts.newest
+        through, parts = (newest.through, newest.parts) if newest else (-1, 0)
+        return CheckpointProgress(
+            self.next_offset, through, parts, self._newest_seen_at
+        )
 
     @inlineCallbacks
     def poll(self) -> Generator[Deferred[Any], Any, None]:
@@ -66,11 +96,65 @@
         while True:
             started = self._clock()
             page = yield self._client.read(self.stream, self.next_offset, PAGE_RECORDS)
+            if self.codec is not None and self._needs_checkpoint(page):
+                found = yield self._start_from_checkpoint()
+                if not found:
+                    return
+                continue
+            self.state_incomplete |= page.first_offset > self.next_offset
             self._apply_page(page.records)
             if self.next_offset >= page.next_offset:
                 self.last_tip_read_at = started
                 return
 
+    def _needs_checkpoint(self, page: Any) -> bool:
+        if page.first_offset > self.next_offset:
+            return True
+        # A long way to the tip is shorter from a checkpoint; tried once at the start.
+        fresh = self.next_offset == 0 and not self._searched
+        return fresh and page.next_offset > SEARCH_RECORDS
+
+    @inlineCallbacks
+    def _start_from_checkpoint(self) -> Generator[Deferred[Any], Any, bool]:
+        """Replace an older state by that of a checkpoint; gives whether to go on."""
+        self._searched = True
+        result = yield search_checkpoint(
+            self._client, self.stream, self.codec.fold, self.next_offset
+        )
+        checkpoint = result.checkpoint
+        if checkpoint is not None and self._load(checkpoint):
+            self._parts = result.collection
+            self._newest_seen_at = self._clock()
+            return True
+        if result.first_offset > self.next_offset:
+            if not self.state_incomplete:
+                logger.error(
+                    "state_incomplete: stream %s starts at offset %d, offset %d is "
+                    "needed and no whole checkpoint was found",
+                    self.stream,
+                    result.first_offset,
+                    self.next_offset,
+                )
+            self.state_incomplete = True
+            return False
+        return True
+
+    def _load(self, checkpoint: Checkpoint) -> bool:
+        if checkpoint.through < self.next_offset:
+            # Another poll went on during the search, or nothing is newer.
+            return False
+        try:
+            state = self.codec.decode(checkpoint.data)
+        except ValueError as error:
+            place = f"{self.stream}, checkpoint through {checkpoint.through}"
+            self.findings.append(Finding(place, str(error)))
+            logger.warning("skipped %s: %s", place, error)
+            return False
+        self.state = state
+        self.next_offset = checkpoint.through + 1
+        self.state_incomplete = False
+        return True
+
     def _apply_page(self, records: tuple[LogRecord, ...]) -> None:
         for offset, data in records:
             if offset < self.next_offset:
@@ -81,4 +165,13 @@
                 logger.warning("skipped %s: %s", record.place, record.message)
                 self.findings.append(record)
                 continue
+            if isinstance(record, CheckpointPart):
+                self._keep_part(record, offset)
+                continue
             self.state = self._apply(record, self.state, offset)
+
+    def _keep_part(self, part: CheckpointPart, offset: int) -> None:
+        newest = self._parts.newest
+        self._parts = add_part(self._parts, part, offset)
+        if self._parts.newest is not newest:
+            self._newest_seen_at = self._clock()
--- a/wisteriagw/records/__init__.py
+++ b/wisteriagw/records/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from wisteriagw.records._audit_entry import AuditEntry
+from wisteriagw.records._checkpoint_part import CheckpointPart
 from wisteriagw.records._codec import decode_record, encode_record
 from wisteriagw.records._customer_created import CustomerCreated
 from wisteriagw.records._drain_ended import DrainEnded
@@ -12,6 +14,8 @@
 from wisteriagw.records._sheet_published import SheetPublished
 
 __all__ = [
+    "AuditEntry",
+    "CheckpointPart",
     "CustomerCreated",
     "DrainEnded",
     "DrainRequested",
