--- a/wisteriagw/config/_config_state.py
+++ b/wisteriagw/config/_config_state.py
@@ -27,6 +27,9 @@
         Backend servers that shall get no new work.
     sheet_operator : str
         Operator who published the sheet in force.
+    void_keys : frozenset of bytes
+        Keys that were withdrawn before their ``KeyGiven`` was read. An append whose
+        reply was lost can take effect after the withdrawal.
     """
 
     revision: int
@@ -36,3 +39,4 @@
     key_customers: dict[bytes, str]
     draining: frozenset[str]
     sheet_operator: str = ""
+    void_keys: frozenset[bytes] = frozenset()
--- a/wisteriagw/config/_fold.py
+++ b/wisteriagw/config/_fold.py
@@ -58,8 +58,10 @@
 
 @_apply.register
 def _(record: KeyWithdrawn, state: ConfigState, offset: int) -> ConfigState:
+    if record.key_hash not in state.key_customers:
+        return state._replace(void_keys=state.void_keys | {record.key_hash})
     keys = dict(state.key_customers)
-    keys.pop(record.key_hash, None)
+    keys.pop(record.key_hash)
     return state._replace(key_customers=keys)
 
 
--- a/wisteriagw/config/_refusals.py
+++ b/wisteriagw/config/_refusals.py
@@ -10,7 +10,6 @@
 from wisteriagw.records import (
     CustomerCreated,
     KeyGiven,
-    KeyWithdrawn,
     SheetPublished,
 )
 
@@ -30,16 +29,11 @@
 
 @find_refusal.register
 def _(record: KeyGiven, state: ConfigState) -> Refusal | None:
-    if record.customer in state.customers:
-        return None
-    return Refusal("not_found", f"no customer {record.customer!r}")
-
-
-@find_refusal.register
-def _(record: KeyWithdrawn, state: ConfigState) -> Refusal | None:
-    if record.key_hash in state.key_customers:
-        return None
-    return Refusal("not_found", "no valid key with this hash")
+    if record.customer not in state.customers:
+        return Refusal("not_found", f"no customer {record.customer!r}")
+    if record.key_hash in state.void_keys:
+        return Refusal("conflict", "the key was withdrawn already")
+    return None
 
 
 @find_refusal.register
