Extend the operators' interface and end connections of withdrawn keys

Each resource of the operators' interface has its own file; the changes are a table of builders over one route class, and outcomes are tagged and answered by singledispatch. A change reads the configuration to the tip before it appends, so that a contradiction leaves no record and an outage is noticed before anything is sent: then not_run is true. An append without a reply is looked for by its nonce for 5 s; if it is not found, the answer says that the change may still take effect. LogUnavailableError tells whether the call may have reached the log.

decide_acceptance counts a majority of the VM list, only from senders with the same list. Silence counts from the acceptance on: before, a silent VM may hold a permit from a majority that did not know the revision.

Without an operator token file the operators' interface listens on loopback only. Open requests are kept by key hash; a withdrawal ends them when its record is applied, and so does a start from a checkpoint.

--- a/wisteriagw/entry/_authentication.py
+++ b/wisteriagw/entry/_authentication.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from wisteriagw.config import find_customer
+from wisteriagw.config import find_customer, hash_key
+from wisteriagw.entry._caller import Caller
 
 if TYPE_CHECKING:
     from twisted.web.server import Request
@@ -14,9 +15,18 @@
 BEARER_PREFIX = "Bearer "
 
 
-def authenticate(request: Request, config: ConfigState) -> str | None:
-    """Return the customer of the request's key, or None without a valid key."""
+def read_bearer_token(request: Request) -> str:
+    """Return the token in the authorization header, or an empty text."""
     header = request.getHeader("authorization") or ""
     if not header.startswith(BEARER_PREFIX):
+        return ""
+    return header.removeprefix(BEARER_PREFIX).strip()
+
+
+def authenticate(request: Request, config: ConfigState) -> Caller | None:
+    """Return the customer of the request's key, or None without a valid key."""
+    key = read_bearer_token(request)
+    customer = find_customer(config, key)
+    if customer is None:
         return None
-    return find_customer(config, header.removeprefix(BEARER_PREFIX).strip())
+    return Caller(customer, hash_key(key))
--- /dev/null
+++ b/wisteriagw/entry/_change_made.py
@@ -0,0 +1,17 @@
+"""Outcome of a change that is in the log and has an effect."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from wisteriagw.config import Acceptance
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeMade:
+    """The change got a revision; other VMs may not have confirmed it yet."""
+
+    revision: int
+    acceptance: Acceptance
--- /dev/null
+++ b/wisteriagw/entry/_change_refused.py
@@ -0,0 +1,16 @@
+"""Outcome of a change that has no effect."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from wisteriagw.config import Refusal
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeRefused:
+    """The change contradicts the configuration."""
+
+    refusal: Refusal
--- a/wisteriagw/entry/_chat_resource.py
+++ b/wisteriagw/entry/_chat_resource.py
@@ -40,8 +40,8 @@
 
     def render_POST(self, request: Request) -> Any:
         """Generate an answer to a prompt."""
-        customer = authenticate(request, self._context.config)
-        if customer is None:
+        caller = authenticate(request, self._context.config)
+        if caller is None:
             write_error(request, 401, "invalid_key", "no valid key", not_run=True)
             return NOT_DONE_YET
         if request.body_too_large:
@@ -53,7 +53,8 @@
         except ValueError as error:
             write_error(request, 400, "invalid_request", str(error), not_run=True)
             return NOT_DONE_YET
-        self._generate(request, customer, chat)
+        self._context.callers.add(caller.key_hash, request)
+        self._generate(request, caller.customer, chat)
         return NOT_DONE_YET
 
     def _generate(self, request: Request, customer: str, chat: ChatRequest) -> None:
@@ -64,11 +65,12 @@
         decision = choose_backend_server(
             route_request, context.list_views(), context.clock()
         )
+        request_id = secrets.token_hex(REQUEST_ID_BYTES)
+        context.explain(request_id, customer, route_request, decision)
         if decision.chosen is None:
             message = f"no backend server for model {chat.model!r}"
             write_error(request, 503, "no_backend_server", message, not_run=True)
             return
-        request_id = secrets.token_hex(REQUEST_ID_BYTES)
         attempt = secrets.token_hex(ATTEMPT_ID_BYTES)
         body: GenerateRequest = {
             "request_id": request_id,
--- /dev/null
+++ b/wisteriagw/entry/_config_changes.py
@@ -0,0 +1,125 @@
+"""Changes of the configuration through the log."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.defer import inlineCallbacks
+
+from wisteriagw.clocks import read_wall_time
+from wisteriagw.config import NO_REVISION, find_refusal
+from wisteriagw.entry._change_descriptions import describe_change
+from wisteriagw.entry._change_made import ChangeMade
+from wisteriagw.entry._change_not_run import ChangeNotRun
+from wisteriagw.entry._change_refused import ChangeRefused
+from wisteriagw.entry._change_unknown import ChangeUnknown
+from wisteriagw.platform import LogUnavailableError
+from wisteriagw.records import AuditEntry, encode_record
+
+if TYPE_CHECKING:
+    from collections.abc import Generator
+
+    from twisted.internet.defer import Deferred
+
+    from wisteriagw.entry._entry_context import EntryContext
+
+CONFIG_STREAM = "config"
+# A record whose append had no reply is looked for this often and this far apart.
+LOOKUPS = 10
+LOOKUP_SECONDS = 0.5
+# Other VMs confirm with their heartbeats, which come every second; 5 s is the bound
+# for a configuration to be in force.
+ACCEPT_LOOKS = 50
+ACCEPT_SECONDS = 0.1
+
+
+@inlineCallbacks
+def make_change(
+    context: EntryContext, record: Any, cause: str
+) -> Generator[Deferred[Any], Any, Any]:
+    """Make a change and write its audit entry; gives a tagged outcome.
+
+    The configuration is read to the tip first, so that a contradiction is refused
+    without a record and a log that is down is noticed before anything is sent.
+    """
+    try:
+        yield context.poll_config()
+    except LogUnavailableError as error:
+        return ChangeNotRun(f"the log cannot be read: {error}")
+    if context.config_follower.state_incomplete:
+        return ChangeNotRun("state_incomplete: configuration records are missing")
+    before = context.config
+    refusal = find_refusal(record, before)
+    if refusal is not None:
+        outcome = ChangeRefused(refusal)
+    else:
+        outcome = yield _append(context, record)
+    description = describe_change(record, before)
+    revision, result = _summarize(outcome)
+    entry = AuditEntry(
+        actor=record.operator,
+        **description._asdict(),
+        cause=cause,
+        revision=revision,
+        result=result,
+        at=read_wall_time(),
+    )
+    context.audit.write(entry)
+    return outcome
+
+
+@inlineCallbacks
+def _append(context: EntryContext, record: Any) -> Generator[Deferred[Any], Any, Any]:
+    reason = "the record could not be read back"
+    try:
+        yield context.log.append(CONFIG_STREAM, encode_record(record))
+    except LogUnavailableError as error:
+        if not error.may_have_run:
+            return ChangeNotRun(f"the log was not reached: {error}")
+        reason = str(error)
+    for _ in range(LOOKUPS):
+        try:
+            yield context.poll_config()
+        except LogUnavailableError as error:
+            reason = str(error)
+        found = context.journal.find(record.nonce)
+        if found is not None:
+            break
+        yield context.sleep(LOOKUP_SECONDS)
+    else:
+        return ChangeUnknown(record.nonce, reason)
+    if found.refusal is not None:
+        return ChangeRefused(found.refusal)
+    for _ in range(ACCEPT_LOOKS):
+        if context.decide_acceptance(found.offset).accepted:
+            break
+        yield context.sleep(ACCEPT_SECONDS)
+    return ChangeMade(found.offset, context.decide_acceptance(found.offset))
+
+
+@singledispatch
+def _summarize(outcome: Any) -> tuple[int, str]:
+    """Return the revision and the result for the audit entry."""
+    raise TypeError(f"{type(outcome).__name__} is not the outcome of a change")
+
+
+@_summarize.register
+def _(outcome: ChangeMade) -> tuple[int, str]:
+    result = "accepted" if outcome.acceptance.accepted else "unconfirmed"
+    return outcome.revision, result
+
+
+@_summarize.register
+def _(outcome: ChangeRefused) -> tuple[int, str]:
+    return NO_REVISION, "refused"
+
+
+@_summarize.register
+def _(outcome: ChangeNotRun) -> tuple[int, str]:
+    return NO_REVISION, "not run"
+
+
+@_summarize.register
+def _(outcome: ChangeUnknown) -> tuple[int, str]:
+    return NO_REVISION, "unknown"
--- a/wisteriagw/entry/_entry_context.py
+++ b/wisteriagw/entry/_entry_context.py
@@ -4,21 +4,39 @@
 
 from typing import TYPE_CHECKING, Any
 
-from wisteriagw.config import apply_record, build_empty_config
+from twisted.internet.defer import inlineCallbacks, succeed
+
+from wisteriagw.clocks import read_wall_time
+from wisteriagw.config import (
+    CONFIG_CODEC,
+    Confirmation,
+    apply_record,
+    build_empty_config,
+    decide_acceptance,
+    digest_vm_list,
+    find_refusal,
+)
+from wisteriagw.entry._applied_change import AppliedChange
+from wisteriagw.entry._audit_writer import AuditWriter
+from wisteriagw.entry._change_journal import ChangeJournal
+from wisteriagw.entry._config_changes import CONFIG_STREAM
+from wisteriagw.entry._decision_ring import DecisionRing
+from wisteriagw.entry._explained_decision import ExplainedDecision
+from wisteriagw.entry._open_callers import OpenCallers
 from wisteriagw.follower import StreamFollower
 from wisteriagw.routing import BackendView
 from wisteriagw.settings import AddressKind, parse_value
 
 if TYPE_CHECKING:
     from collections import Counter
-    from collections.abc import Callable
+    from collections.abc import Callable, Generator
+
+    from twisted.internet.defer import Deferred
 
-    from wisteriagw.config import ConfigState, RouteRow
+    from wisteriagw.config import Acceptance, ConfigState, RouteRow
     from wisteriagw.http import HttpClient
     from wisteriagw.platform import LogClient
 
-CONFIG_STREAM = "config"
-
 
 class EntryContext:
     """Configuration, clients and accounting of one entry process."""
@@ -30,14 +48,27 @@
         log: LogClient,
         clock: Callable[[], float],
         running: Counter[str],
+        sleep: Callable[[float], Deferred[Any]] | None = None,
     ) -> None:
         self.settings = settings
         self.client = client
         self.log = log
         self.clock = clock
         self.running = running
+        self.sleep = sleep or (lambda seconds: succeed(None))
+        self.journal = ChangeJournal()
+        self.callers = OpenCallers()
+        self.decisions = DecisionRing()
+        self.audit = AuditWriter(log)
+        self._accepted_revision = -1
+        self._accepted_at = 0.0
         self.config_follower = StreamFollower(
-            log, CONFIG_STREAM, build_empty_config(), apply_record, clock
+            log,
+            CONFIG_STREAM,
+            build_empty_config(),
+            self._apply_config,
+            clock,
+            CONFIG_CODEC,
         )
 
     @property
@@ -45,6 +76,55 @@
         """The configuration as far as it was read."""
         return self.config_follower.state
 
+    @inlineCallbacks
+    def poll_config(self) -> Generator[Deferred[Any], Any, None]:
+        """Read the configuration to the tip; fails with LogUnavailableError."""
+        yield self.config_follower.poll()
+        # A start from a checkpoint skips the records of withdrawals.
+        self.callers.end_withdrawn(self.config.key_customers)
+        self.audit.flush()
+
+    def _apply_config(self, record: Any, state: ConfigState, offset: int) -> Any:
+        nonce = getattr(record, "nonce", "")
+        if nonce:
+            change = AppliedChange(offset, find_refusal(record, state))
+            self.journal.add(nonce, change)
+        new_state = apply_record(record, state, offset)
+        if new_state.key_customers is not state.key_customers:
+            self.callers.end_withdrawn(new_state.key_customers)
+        return new_state
+
+    def list_vm_names(self) -> list[str]:
+        """Return the names on the VM list as this VM knows it."""
+        return [self.settings["vm"]]
+
+    def list_confirmations(self) -> list[Confirmation]:
+        """Return the newest confirmation of each VM, this one included."""
+        digest = digest_vm_list(self.list_vm_names())
+        revision = self.config.revision
+        return [Confirmation(self.settings["vm"], digest, revision, self.clock())]
+
+    def decide_acceptance(self, revision: int) -> Acceptance:
+        """Return how far a revision of the configuration has spread."""
+        now = self.clock()
+        accepted_at = None
+        if revision <= self._accepted_revision:
+            accepted_at = self._accepted_at
+        acceptance = decide_acceptance(
+            self.list_confirmations(), self.list_vm_names(), revision, now, accepted_at
+        )
+        if acceptance.accepted and revision > self._accepted_revision:
+            self._accepted_revision, self._accepted_at = revision, now
+        return acceptance
+
+    def explain(
+        self, request_id: str, customer: str, inputs: Any, decision: Any
+    ) -> None:
+        """Keep a decision for the operators."""
+        self.decisions.add(
+            ExplainedDecision(read_wall_time(), request_id, customer, inputs, decision)
+        )
+
     def list_views(self) -> list[BackendView]:
         """Return the backend servers as the routing decision sees them."""
         views = []
--- a/wisteriagw/entry/_main.py
+++ b/wisteriagw/entry/_main.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import logging
+import sys
 from collections import Counter
+from functools import partial
 from typing import Any
 
 from twisted.internet import reactor
-from twisted.internet.task import LoopingCall
+from twisted.internet.task import LoopingCall, deferLater
 from twisted.web.resource import Resource
 from twisted.web.server import Site
 
@@ -16,13 +18,16 @@
 from wisteriagw.entry._chat_resource import ChatResource
 from wisteriagw.entry._entry_context import EntryContext
 from wisteriagw.entry._health_resource import HealthResource
+from wisteriagw.entry._operator_access import load_operator_token
 from wisteriagw.entry._operators_resource import OperatorsResource
 from wisteriagw.entry._options import OPTIONS
 from wisteriagw.entry._requests_resource import RequestsResource
 from wisteriagw.entry._service_resource import ServiceResource
+from wisteriagw.entry._version_resource import VersionResource
+from wisteriagw.findings import format_findings
 from wisteriagw.http import BoundedRequest, HttpClient
 from wisteriagw.platform import HttpLogClient, LogUnavailableError
-from wisteriagw.settings import load_settings
+from wisteriagw.settings import EXIT_INVALID_SETTINGS, load_settings
 from wisteriagw.telemetry import start_logging
 
 logger = logging.getLogger(__name__)
@@ -34,15 +39,21 @@
 def main() -> None:
     """Run the entry program."""
     settings = load_settings(PROGRAM, DESCRIPTION, OPTIONS)
+    token, findings = load_operator_token(settings)
+    if findings:
+        sys.stderr.write(format_findings(findings) + "\n")
+        sys.exit(EXIT_INVALID_SETTINGS)
     start_logging("entry", settings["log-level"])
     client = HttpClient(reactor)
     log = HttpLogClient(client, settings["log"])
-    context = EntryContext(settings, client, log, read_boot_time, Counter())
+    context = EntryContext(
+        settings, client, log, read_boot_time, Counter(), partial(deferLater, reactor)
+    )
     polling = LoopingCall(_poll_config, context)
     polling.start(settings["config-poll-seconds"])
     _listen(settings["listen"], build_caller_root(context))
     operators = Resource()
-    operators.putChild(b"v1", OperatorsResource(context))
+    operators.putChild(b"v1", OperatorsResource(context, token))
     _listen(settings["operator-listen"], operators)
     reactor.run()
 
@@ -51,7 +62,7 @@
     """Return the resource tree of the caller interface."""
     root = Resource()
     root.putChild(b"healthz", HealthResource(context))
-    version = Resource()
+    version = VersionResource(context)
     root.putChild(b"v1", version)
     chat = Resource()
     version.putChild(b"chat", chat)
@@ -68,7 +79,7 @@
 
 
 def _poll_config(context: EntryContext) -> Any:
-    polled = context.config_follower.poll()
+    polled = context.poll_config()
     polled.addErrback(_log_unavailable)
     return polled
 
--- a/wisteriagw/entry/_operators_resource.py
+++ b/wisteriagw/entry/_operators_resource.py
@@ -1,101 +1,76 @@
-"""Operators' interface: changes of the configuration."""
+"""Operators' interface."""
 
 from __future__ import annotations
 
-import secrets
+import hmac
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet.defer import inlineCallbacks
 from twisted.web.resource import Resource
-from twisted.web.server import NOT_DONE_YET
 
-from wisteriagw.config import create_key, hash_key, parse_sheet
-from wisteriagw.entry._entry_context import CONFIG_STREAM
-from wisteriagw.http import read_json_object, write_error, write_json
-from wisteriagw.platform import LogUnavailableError
-from wisteriagw.records import (
-    CustomerCreated,
-    KeyGiven,
-    KeyWithdrawn,
-    SheetPublished,
-    encode_record,
-)
+from wisteriagw.entry._authentication import read_bearer_token
+from wisteriagw.entry._change_resource import ChangeResource
+from wisteriagw.entry._operators_audit import AuditResource
+from wisteriagw.entry._operators_customers import build_customer_creation
+from wisteriagw.entry._operators_decisions import DecisionsResource
+from wisteriagw.entry._operators_drains import build_drain, build_drain_end
+from wisteriagw.entry._operators_fleet import FleetResource
+from wisteriagw.entry._operators_keys import build_key_gift
+from wisteriagw.entry._operators_revisions import RevisionsResource
+from wisteriagw.entry._operators_sheet_checks import SheetChecksResource
+from wisteriagw.entry._operators_sheets import build_publication
+from wisteriagw.entry._operators_withdrawals import build_key_withdrawal
+from wisteriagw.entry._refusing_resource import RefusingResource
 
 if TYPE_CHECKING:
-    from collections.abc import Generator
-
-    from twisted.internet.defer import Deferred
     from twisted.web.server import Request
 
     from wisteriagw.entry._entry_context import EntryContext
 
-NONCE_BYTES = 8
+CHANGES = {
+    b"customers": build_customer_creation,
+    b"keys": build_key_gift,
+    b"withdrawals": build_key_withdrawal,
+    b"sheets": build_publication,
+    b"drains": build_drain,
+    b"drain-ends": build_drain_end,
+}
+VIEWS = {
+    b"sheet-checks": SheetChecksResource,
+    b"fleet": FleetResource,
+    b"revisions": RevisionsResource,
+    b"decisions": DecisionsResource,
+    b"audit": AuditResource,
+}
 
 
 class OperatorsResource(Resource):
-    """Serves ``POST /v1/{customers,keys,withdrawals,sheets}``."""
-
-    isLeaf = True
-
-    def __init__(self, context: EntryContext) -> None:
+    """Serves ``/v1`` of the operators' interface.
+
+    Parameters
+    ----------
+    context : EntryContext
+        State of the process.
+    token : str
+        What operators authenticate with; empty on an interface that listens on
+        loopback only.
+    """
+
+    def __init__(self, context: EntryContext, token: str = "") -> None:
         super().__init__()
-        self._context = context
-
-    def render_POST(self, request: Request) -> Any:
-        """Make one change."""
-        try:
-            body = read_json_object(request)
-            self._change(request, body)
-        except (KeyError, ValueError) as error:
-            write_error(request, 400, "invalid_request", str(error), not_run=True)
-        return NOT_DONE_YET
-
-    def _change(self, request: Request, body: dict[str, Any]) -> None:
-        operator = str(body.get("operator", ""))
-        nonce = secrets.token_hex(NONCE_BYTES)
-        subject = request.path.rpartition(b"/")[2].decode("latin-1")
-        if subject == "customers":
-            record = CustomerCreated(str(body["customer"]), operator, nonce)
-            self._append(request, record, {})
-            return
-        if subject == "keys":
-            key = create_key()
-            customer = str(body["customer"])
-            record = KeyGiven(customer, hash_key(key), operator, nonce)
-            self._append(request, record, {"key": key})
-            return
-        if subject == "withdrawals":
-            record = KeyWithdrawn(hash_key(str(body["key"])), operator, nonce)
-            self._append(request, record, {})
-            return
-        if subject == "sheets":
-            self._publish(request, str(body["sheet"]), operator, nonce)
-            return
-        write_error(request, 404, "not_found", f"no {subject!r} here", not_run=True)
-
-    def _publish(self, request: Request, text: str, operator: str, nonce: str) -> None:
-        sheet, findings = parse_sheet(text)
-        if findings:
-            faults = [finding._asdict() for finding in findings]
-            error = {"code": "invalid_sheet", "not_run": True, "findings": faults}
-            write_json(request, 400, {"error": error})
-            return
-        based_on = self._context.config.sheet_revision
-        self._append(
-            request, SheetPublished(based_on, dict(sheet), operator, nonce), {}
-        )
-
-    @inlineCallbacks
-    def _append(
-        self, request: Request, record: Any, answer: dict[str, Any]
-    ) -> Generator[Deferred[Any], Any, None]:
-        try:
-            offset = yield self._context.log.append(
-                CONFIG_STREAM, encode_record(record)
-            )
-            yield self._context.config_follower.poll()
-        except LogUnavailableError as error:
-            message = f"the change may still take effect: {error}"
-            write_error(request, 503, "log_unavailable", message, not_run=False)
-            return
-        write_json(request, 200, {"revision": offset, **answer})
+        self._token = token.encode("utf-8")
+        for name, build in CHANGES.items():
+            self.putChild(name, ChangeResource(context, build))
+        for name, resource_type in VIEWS.items():
+            self.putChild(name, resource_type(context))
+
+    def getChildWithDefault(self, path: bytes, request: Request) -> Any:
+        """Return a route to an operator."""
+        given = read_bearer_token(request).encode("utf-8")
+        if self._token and not hmac.compare_digest(given, self._token):
+            return RefusingResource(401, "invalid_key", "no valid operator token")
+        return super().getChildWithDefault(path, request)
+
+    def getChild(self, path: bytes, request: Request) -> Any:
+        """Return the answer to an unknown route."""
+        message = f"no {path.decode('latin-1')!r} here"
+        return RefusingResource(404, "not_found", message)
--- a/wisteriagw/entry/_options.py
+++ b/wisteriagw/entry/_options.py
@@ -6,6 +6,7 @@
     AddressKind,
     AddressListKind,
     ChoiceKind,
+    FileKind,
     NumberKind,
     Option,
     TextKind,
@@ -16,6 +17,12 @@
     Option("data-centre", TextKind(), None, "Data centre of this VM."),
     Option("listen", AddressKind(), None, "Address for callers."),
     Option("operator-listen", AddressKind(), None, "Address for operators."),
+    Option(
+        "operator-token-file",
+        FileKind(),
+        "",
+        "File with the token of operators; without it they connect by loopback only.",
+    ),
     Option("log", AddressKind(), None, "Address of the platform's log."),
     Option(
         "entry-addresses",
--- a/wisteriagw/entry/_requests_resource.py
+++ b/wisteriagw/entry/_requests_resource.py
@@ -34,8 +34,8 @@
 
     def render_GET(self, request: Request) -> Any:
         """Resume the stream after the last event that the caller has."""
-        customer = authenticate(request, self._context.config)
-        if customer is None:
+        caller = authenticate(request, self._context.config)
+        if caller is None:
             write_error(request, 401, "invalid_key", "no valid key", not_run=True)
             return NOT_DONE_YET
         handle = request.path.rpartition(b"/")[2].decode("latin-1")
@@ -46,9 +46,12 @@
             message = "unknown request or Last-Event-ID"
             write_error(request, 404, "not_found", message, not_run=True)
             return NOT_DONE_YET
+        self._context.callers.add(caller.key_hash, request)
         attempt = secrets.token_hex(ATTEMPT_ID_BYTES)
         start = int(last_event) + 1
-        query = urlencode({"customer": customer, "attempt": attempt, "from": start})
+        query = urlencode(
+            {"customer": caller.customer, "attempt": attempt, "from": start}
+        )
         path = f"/requests/{quote(request_id, safe='')}?{query}"
         opened = self._context.client.open(address, "GET", path)
         sink = StreamSink(request, request_id, "")
--- a/wisteriagw/entry/_service_resource.py
+++ b/wisteriagw/entry/_service_resource.py
@@ -45,11 +45,13 @@
             message = f"no route {method} {path} of service {service!r}"
             write_error(request, 404, "unknown_service", message, not_run=True)
             return NOT_DONE_YET
-        customer = authenticate(request, self._context.config)
-        if customer is None and not route["open"]:
+        caller = authenticate(request, self._context.config)
+        if caller is None and not route["open"]:
             write_error(request, 401, "invalid_key", "no valid key", not_run=True)
             return NOT_DONE_YET
-        self._call(request, route, customer or "", path)
+        if caller is not None:
+            self._context.callers.add(caller.key_hash, request)
+        self._call(request, route, caller.customer if caller else "", path)
         return NOT_DONE_YET
 
     @inlineCallbacks
@@ -63,6 +65,7 @@
         decision = choose_backend_server(
             route_request, context.list_views(), context.clock()
         )
+        context.explain("", customer, route_request, decision)
         if decision.chosen is None:
             message = f"no backend server for service {route['service']!r}"
             write_error(request, 503, "no_backend_server", message, not_run=True)
--- a/wisteriagw/platform/_http_log_client.py
+++ b/wisteriagw/platform/_http_log_client.py
@@ -7,7 +7,7 @@
 import cbor2
 from twisted.internet.defer import inlineCallbacks
 
-from wisteriagw.outcomes import Done
+from wisteriagw.outcomes import Done, FailedNotRun
 from wisteriagw.platform._log_page import LogPage
 from wisteriagw.platform._log_record import LogRecord
 from wisteriagw.platform._log_unavailable import LogUnavailableError
@@ -72,7 +72,8 @@
 
 def _decode_reply(outcome: Outcome) -> dict[str, Any]:
     if not isinstance(outcome, Done):
-        raise LogUnavailableError(str(outcome))
+        may_have_run = not isinstance(outcome, FailedNotRun)
+        raise LogUnavailableError(str(outcome), may_have_run=may_have_run)
     if outcome.status != 200:
         raise LogUnavailableError(f"the log answered with status {outcome.status}")
     try:
--- a/wisteriagw/settings/__init__.py
+++ b/wisteriagw/settings/__init__.py
@@ -9,6 +9,7 @@
 from wisteriagw.settings._flag_kind import FlagKind
 from wisteriagw.settings._integer_kind import IntegerKind
 from wisteriagw.settings._loading import (
+    EXIT_INVALID_SETTINGS,
     build_parser,
     check_settings,
     get_variable,
@@ -20,6 +21,7 @@
 from wisteriagw.settings._text_kind import TextKind
 
 __all__ = [
+    "EXIT_INVALID_SETTINGS",
     "AddressKind",
     "AddressListKind",
     "ChoiceKind",
