Give the operators' command a file per subcommand

A read moves on to the next address; a change does so only if the connection was never established, because any other loss may have taken effect. The command then says that the outcome is unknown and does not repeat the change.

--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -41,7 +41,7 @@
   sleep 0.2
 done
 "$BIN/wisteriagw-admin" --operator demo publish "$HERE/demo_sheet.csv"
-KEY=$("$BIN/wisteriagw-admin" --operator demo give-key market-office |
+KEY=$("$BIN/wisteriagw-admin" --json --operator demo give-key market-office |
   sed 's/.*"key": "\([^"]*\)".*/\1/')
 sleep 1.5
 
--- a/wisteriagw/admin/_main.py
+++ b/wisteriagw/admin/_main.py
@@ -13,79 +13,101 @@
 from twisted.internet.defer import inlineCallbacks
 
 from wisteriagw import __version__
+from wisteriagw.admin._commands import COMMANDS
+from wisteriagw.admin._outcome_text import build_error, format_error
+from wisteriagw.admin._sending import send_call
 from wisteriagw.http import HttpClient
 from wisteriagw.outcomes import Done
-from wisteriagw.settings import AddressKind, get_variable, parse_value
+from wisteriagw.settings import AddressListKind, get_variable, parse_value
 
 if TYPE_CHECKING:
-    from collections.abc import Generator
+    from collections.abc import Generator, Sequence
 
     from twisted.internet.defer import Deferred
 
+    from wisteriagw.admin._command import Command
+    from wisteriagw.admin._operator_call import OperatorCall
+
 PROGRAM = "wisteriagw-admin"
 EXIT_FAILED = 1
+EXIT_INVALID_ARGUMENTS = 2
+FOLLOW_SECONDS = 1.0
+OPTIONS = (
+    ("operator-address", "Operators' addresses of entry VMs, divided by commas."),
+    ("operator-token-file", "File with the token of operators."),
+    ("operator", "Name for the audit trail."),
+)
 
 
 def build_parser() -> argparse.ArgumentParser:
     """Return the argument parser of the command."""
     parser = argparse.ArgumentParser(prog=PROGRAM, description="Operates wisteriagw.")
     parser.add_argument("--version", action="version", version=__version__)
-    variable = get_variable("operator-address")
-    parser.add_argument(
-        "--operator-address",
-        default=None,
-        help=f"Operators' address of an entry VM [env: {variable}].",
-    )
-    parser.add_argument("--operator", default="", help="Name for the audit trail.")
+    for name, text in OPTIONS:
+        variable = get_variable(name)
+        parser.add_argument(
+            f"--{name}",
+            default=os.environ.get(variable, ""),
+            help=f"{text} [env: {variable}]",
+        )
+    parser.add_argument("--cause", default="", help="Reason for the audit trail.")
+    parser.add_argument("--json", action="store_true", help="Print answers as JSON.")
     commands = parser.add_subparsers(dest="command", required=True)
-    create = commands.add_parser("create-customer", help="Create a customer.")
-    create.add_argument("customer")
-    give = commands.add_parser("give-key", help="Give a customer a new key.")
-    give.add_argument("customer")
-    withdraw = commands.add_parser("withdraw-key", help="Withdraw a key.")
-    withdraw.add_argument("key")
-    publish = commands.add_parser("publish", help="Check and publish a sheet.")
-    publish.add_argument("file", type=pathlib.Path)
+    for command in COMMANDS:
+        subparser = commands.add_parser(command.name, help=command.help)
+        command.add_arguments(subparser)
     return parser
 
 
-def build_change(arguments: argparse.Namespace) -> tuple[str, dict[str, Any]]:
-    """Return the path and the body of the change that the arguments ask for."""
-    body: dict[str, Any] = {"operator": arguments.operator}
-    if arguments.command == "create-customer":
-        return "/v1/customers", {**body, "customer": arguments.customer}
-    if arguments.command == "give-key":
-        return "/v1/keys", {**body, "customer": arguments.customer}
-    if arguments.command == "withdraw-key":
-        return "/v1/withdrawals", {**body, "key": arguments.key}
-    return "/v1/sheets", {**body, "sheet": arguments.file.read_text()}
-
-
-def main() -> None:
+def main(arguments: Sequence[str] | None = None) -> None:
     """Run the operators' command."""
-    arguments = build_parser().parse_args()
-    text = arguments.operator_address or os.environ.get(
-        get_variable("operator-address"), ""
-    )
+    parsed = build_parser().parse_args(arguments)
+    command = next(entry for entry in COMMANDS if entry.name == parsed.command)
     try:
-        address = parse_value(AddressKind(), text)
-        path, body = build_change(arguments)
+        addresses = parse_value(AddressListKind(), parsed.operator_address)
+        headers = build_headers(parsed.operator_token_file)
+        call = command.build_call(parsed)
     except (OSError, ValueError) as error:
-        sys.stderr.write(f"{error}\n")
-        sys.exit(2)
-    task.react(_send, (address, path, body))
+        sys.stderr.write(f"{PROGRAM}: {error}\n")
+        sys.exit(EXIT_INVALID_ARGUMENTS)
+    task.react(_run, (parsed, command, addresses, headers, call))
+
+
+def build_headers(token_file: str) -> dict[str, str]:
+    """Return the headers that authenticate the operator."""
+    if not token_file:
+        return {}
+    token = pathlib.Path(token_file).read_text(encoding="utf-8").strip()
+    return {"authorization": f"Bearer {token}"}
 
 
 @inlineCallbacks
-def _send(
-    reactor: Any, address: tuple[str, int], path: str, body: dict[str, Any]
+def _run(
+    reactor: Any,
+    parsed: argparse.Namespace,
+    command: Command,
+    addresses: Sequence[tuple[str, int]],
+    headers: dict[str, str],
+    call: OperatorCall | None,
 ) -> Generator[Deferred[Any], Any, None]:
     client = HttpClient(reactor)
-    outcome = yield client.send(address, "POST", path, json.dumps(body).encode("utf-8"))
+    while call is not None:
+        if call.body is not None:
+            audit = {"operator": parsed.operator, "cause": parsed.cause}
+            call = call._replace(body={**call.body, **audit})
+        outcome = yield send_call(client, addresses, headers, call)
+        if not isinstance(outcome, Done) or outcome.status != 200:
+            yield client.close()
+            error = build_error(outcome, call)
+            text = json.dumps({"error": error}) if parsed.json else format_error(error)
+            (sys.stdout if parsed.json else sys.stderr).write(text + "\n")
+            sys.exit(EXIT_FAILED)
+        answer = json.loads(outcome.body)
+        text = json.dumps(answer) if parsed.json else command.format_answer(answer)
+        if text:
+            sys.stdout.write(text + "\n")
+            sys.stdout.flush()
+        call = command.next_call(parsed, answer)
+        if call is not None and answer.get("at_tip"):
+            yield task.deferLater(reactor, FOLLOW_SECONDS)
     yield client.close()
-    if not isinstance(outcome, Done):
-        sys.stderr.write(f"{outcome}\n")
-        sys.exit(EXIT_FAILED)
-    sys.stdout.write(outcome.body.decode("utf-8") + "\n")
-    if outcome.status != 200:
-        sys.exit(EXIT_FAILED)
