--- a/features/steps/_fleet.py
+++ b/features/steps/_fleet.py
@@ -6,7 +6,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from wisteriagw.config._sheet_parsing import COLUMNS
+from wisteriagw.config import COLUMNS
 
 if TYPE_CHECKING:
     from features.steps._programs import Programs
@@ -29,7 +29,7 @@
     for number in range(1, entries + 1):
         programs.wait_until_served(f"entry-{number}")
         programs.wait_until_served(f"operators-{number}")
-    return configure(programs, engine, service)
+    return configure(programs)
 
 
 def start_entry(programs: Programs, number: int, log: str) -> None:
@@ -50,8 +50,9 @@
     )
 
 
-def configure(programs: Programs, engine: str, service: str) -> str:
-    """Create a customer, publish a sheet and return the customer's key."""
+def build_sheet(programs: Programs) -> str:
+    """Return the sheet of the fleet, in 7 rows."""
+    engine, service = programs.addresses["engine"], programs.addresses["service"]
     rows = [
         ",".join(COLUMNS),
         "customer,market,,,,,,,1,0,,,,,,",
@@ -61,8 +62,14 @@
         "route,,,,,,levy,,,,,,GET,/sheets,yes,no",
         "route,,,,,,levy,,,,,,POST,/adjustments,no,no",
     ]
+    return "\n".join(rows)
+
+
+def configure(programs: Programs) -> str:
+    """Create a customer, publish a sheet and return the customer's key."""
+    sheet = build_sheet(programs)
     programs.call("operators-1", "POST", "/v1/customers", {"customer": "market"})
-    programs.call("operators-1", "POST", "/v1/sheets", {"sheet": "\n".join(rows)})
+    programs.call("operators-1", "POST", "/v1/sheets", {"sheet": sheet})
     _, body = programs.call("operators-1", "POST", "/v1/keys", {"customer": "market"})
     reply = json.loads(body)
     wait_for_revision(programs, reply["revision"])
