Build changes from the configuration at the tip

A sheet without based_on took the revision that the VM knew, which could be 0.5 s old, and lost to a sheet that the operator had already seen in force. The change is now built after the read to the tip.

--- a/features/steps/operations_steps.py
+++ b/features/steps/operations_steps.py
@@ -76,7 +76,7 @@
     code, _, errors = run_admin(context.programs, 1, "ann", "withdraw-key", context.key)
     assert code == 0, errors
     context.withdrawn_at = time.monotonic()
-    context.stream = b""
+    context.stream, context.broken = b"", False
     try:
         while data := response.read1(65536):
             context.stream += data
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -75,7 +75,7 @@
         assert calls.log.tip("config") == 0
 
     def test_loser_of_a_race_learns_the_winner(self) -> None:
-        ann, bob = OperatorCalls(), None
+        ann = OperatorCalls()
         bob = OperatorCalls(log=ann.log)
         body = {"sheet": SHEET, "based_on": -1}
         assert ann.call("sheets", {**body, "operator": "ann"})[0] == 200
@@ -83,6 +83,12 @@
         assert status == 409
         assert (answer["error"]["winner"], answer["error"]["revision"]) == ("ann", 0)
 
+    def test_sheet_without_based_on_replaces_the_sheet_at_the_tip(self) -> None:
+        ann = OperatorCalls()
+        bob = OperatorCalls(log=ann.log)
+        assert ann.call("sheets", {"sheet": SHEET})[0] == 200
+        assert bob.call("sheets", {"sheet": SHEET})[0] == 200
+
 
 class TestAuditTrail:
     """Guards against a change that the audit trail misses or shows wrongly."""
--- a/wisteriagw/entry/_change_answers.py
+++ b/wisteriagw/entry/_change_answers.py
@@ -25,7 +25,8 @@
 
 @build_answer.register
 def _(outcome: ChangeMade) -> tuple[int, dict[str, Any]]:
-    return 200, {"revision": outcome.revision, **outcome.acceptance._asdict()}
+    spread = outcome.acceptance._asdict()
+    return 200, {"revision": outcome.revision, **spread, **outcome.answer}
 
 
 @build_answer.register
--- a/wisteriagw/entry/_change_made.py
+++ b/wisteriagw/entry/_change_made.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
     from wisteriagw.config import Acceptance
@@ -11,7 +11,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ChangeMade:
-    """The change got a revision; other VMs may not have confirmed it yet."""
+    """The change got a revision; other VMs may not have confirmed it yet.
+
+    ``answer`` is what the operator is told besides, such as a new key.
+    """
 
     revision: int
     acceptance: Acceptance
+    answer: dict[str, Any]
--- a/wisteriagw/entry/_change_resource.py
+++ b/wisteriagw/entry/_change_resource.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import secrets
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import inlineCallbacks
@@ -11,7 +12,6 @@
 
 from wisteriagw.entry._change_answers import build_answer
 from wisteriagw.entry._config_changes import make_change
-from wisteriagw.entry._requested_change import RequestedChange
 from wisteriagw.http import read_json_object, write_error, write_json
 
 if TYPE_CHECKING:
@@ -34,7 +34,7 @@
     context : EntryContext
         State of the process.
     build : callable
-        ``build(body, config, operator, nonce)`` returns a RequestedChange, an outcome
+        ``build(body, operator, nonce, config)`` returns a RequestedChange, an outcome
         that refuses it, or raises ValueError.
     """
 
@@ -53,30 +53,27 @@
             return NOT_DONE_YET
         try:
             body = read_json_object(request)
-            operator = str(body.get("operator") or UNKNOWN_OPERATOR)
-            nonce = secrets.token_hex(NONCE_BYTES)
-            change = self._build(body, self._context.config, operator, nonce)
         except ValueError as error:
             write_error(request, 400, "invalid_request", str(error), not_run=True)
             return NOT_DONE_YET
-        if not isinstance(change, RequestedChange):
-            write_json(request, *build_answer(change))
-            return NOT_DONE_YET
-        self._change(request, change, str(body.get("cause", "")))
+        self._change(request, body)
         return NOT_DONE_YET
 
     @inlineCallbacks
     def _change(
-        self, request: Request, change: RequestedChange, cause: str
+        self, request: Request, body: dict[str, Any]
     ) -> Generator[Deferred[Any], Any, None]:
         left: list[Any] = []
         request.notifyFinish().addErrback(left.append)
-        outcome = yield make_change(self._context, change.record, cause)
-        if left:
+        operator = str(body.get("operator") or UNKNOWN_OPERATOR)
+        nonce = secrets.token_hex(NONCE_BYTES)
+        build = partial(self._build, body, operator, nonce)
+        cause = str(body.get("cause", ""))
+        try:
+            outcome = yield make_change(self._context, build, cause)
+        except ValueError as error:
+            if not left:
+                write_error(request, 400, "invalid_request", str(error), not_run=True)
             return
-        status, answer = build_answer(outcome)
-        write_json(request, status, {**answer, **_select_extra(status, change)})
-
-
-def _select_extra(status: int, change: RequestedChange) -> dict[str, Any]:
-    return change.answer if status == 200 else {}
+        if not left:
+            write_json(request, *build_answer(outcome))
--- a/wisteriagw/entry/_config_changes.py
+++ b/wisteriagw/entry/_config_changes.py
@@ -14,14 +14,16 @@
 from wisteriagw.entry._change_not_run import ChangeNotRun
 from wisteriagw.entry._change_refused import ChangeRefused
 from wisteriagw.entry._change_unknown import ChangeUnknown
+from wisteriagw.entry._requested_change import RequestedChange
 from wisteriagw.platform import LogUnavailableError
 from wisteriagw.records import AuditEntry, encode_record
 
 if TYPE_CHECKING:
-    from collections.abc import Generator
+    from collections.abc import Callable, Generator
 
     from twisted.internet.defer import Deferred
 
+    from wisteriagw.config import ConfigState
     from wisteriagw.entry._entry_context import EntryContext
 
 CONFIG_STREAM = "config"
@@ -36,12 +38,21 @@
 
 @inlineCallbacks
 def make_change(
-    context: EntryContext, record: Any, cause: str
+    context: EntryContext, build: Callable[[ConfigState], Any], cause: str
 ) -> Generator[Deferred[Any], Any, Any]:
     """Make a change and write its audit entry; gives a tagged outcome.
 
     The configuration is read to the tip first, so that a contradiction is refused
     without a record and a log that is down is noticed before anything is sent.
+
+    Parameters
+    ----------
+    context : EntryContext
+        State of the process.
+    build : callable
+        Returns the RequestedChange for the configuration at the tip, or an outcome.
+    cause : str
+        Reason that the operator gave.
     """
     try:
         yield context.poll_config()
@@ -50,11 +61,15 @@
     if context.config_follower.state_incomplete:
         return ChangeNotRun("state_incomplete: configuration records are missing")
     before = context.config
+    change = build(before)
+    if not isinstance(change, RequestedChange):
+        return change
+    record = change.record
     refusal = find_refusal(record, before)
     if refusal is not None:
         outcome = ChangeRefused(refusal)
     else:
-        outcome = yield _append(context, record)
+        outcome = yield _append(context, change)
     description = describe_change(record, before)
     revision, result = _summarize(outcome)
     entry = AuditEntry(
@@ -70,7 +85,10 @@
 
 
 @inlineCallbacks
-def _append(context: EntryContext, record: Any) -> Generator[Deferred[Any], Any, Any]:
+def _append(
+    context: EntryContext, change: RequestedChange
+) -> Generator[Deferred[Any], Any, Any]:
+    record = change.record
     reason = "the record could not be read back"
     try:
         yield context.log.append(CONFIG_STREAM, encode_record(record))
@@ -95,7 +113,8 @@
         if context.decide_acceptance(found.offset).accepted:
             break
         yield context.sleep(ACCEPT_SECONDS)
-    return ChangeMade(found.offset, context.decide_acceptance(found.offset))
+    acceptance = context.decide_acceptance(found.offset)
+    return ChangeMade(found.offset, acceptance, change.answer)
 
 
 @singledispatch
--- a/wisteriagw/entry/_operators_customers.py
+++ b/wisteriagw/entry/_operators_customers.py
@@ -13,7 +13,7 @@
 
 
 def build_customer_creation(
-    body: dict[str, Any], config: ConfigState, operator: str, nonce: str
+    body: dict[str, Any], operator: str, nonce: str, config: ConfigState
 ) -> RequestedChange:
     """Return the change of ``POST /v1/customers``."""
     customer = require_text(body, "customer")
--- a/wisteriagw/entry/_operators_drains.py
+++ b/wisteriagw/entry/_operators_drains.py
@@ -15,7 +15,7 @@
 
 
 def build_drain(
-    body: dict[str, Any], config: ConfigState, operator: str, nonce: str
+    body: dict[str, Any], operator: str, nonce: str, config: ConfigState
 ) -> RequestedChange | ChangeRefused:
     """Return the change of ``POST /v1/drains``."""
     name = require_text(body, "backend_server")
@@ -26,7 +26,7 @@
 
 
 def build_drain_end(
-    body: dict[str, Any], config: ConfigState, operator: str, nonce: str
+    body: dict[str, Any], operator: str, nonce: str, config: ConfigState
 ) -> RequestedChange | ChangeRefused:
     """Return the change of ``POST /v1/drain-ends``."""
     name = require_text(body, "backend_server")
--- a/wisteriagw/entry/_operators_keys.py
+++ b/wisteriagw/entry/_operators_keys.py
@@ -14,7 +14,7 @@
 
 
 def build_key_gift(
-    body: dict[str, Any], config: ConfigState, operator: str, nonce: str
+    body: dict[str, Any], operator: str, nonce: str, config: ConfigState
 ) -> RequestedChange:
     """Return the change of ``POST /v1/keys``; only the answer holds the key."""
     customer = require_text(body, "customer")
--- a/wisteriagw/entry/_operators_sheets.py
+++ b/wisteriagw/entry/_operators_sheets.py
@@ -15,12 +15,12 @@
 
 
 def build_publication(
-    body: dict[str, Any], config: ConfigState, operator: str, nonce: str
+    body: dict[str, Any], operator: str, nonce: str, config: ConfigState
 ) -> RequestedChange | SheetRefused:
     """Return the change of ``POST /v1/sheets``.
 
     ``based_on`` names the sheet revision that the operator's sheet replaces; without
-    it, the revision that this VM knows is taken.
+    it, the revision at the tip of the log is taken.
     """
     based_on = body.get("based_on", config.sheet_revision)
     if type(based_on) is not int:
--- a/wisteriagw/entry/_operators_withdrawals.py
+++ b/wisteriagw/entry/_operators_withdrawals.py
@@ -15,7 +15,7 @@
 
 
 def build_key_withdrawal(
-    body: dict[str, Any], config: ConfigState, operator: str, nonce: str
+    body: dict[str, Any], operator: str, nonce: str, config: ConfigState
 ) -> RequestedChange:
     """Return the change of ``POST /v1/withdrawals`` by key or by its hash."""
     if "key_hash" in body:
