Merge the configuration, checkpoints and operators' interface

The decision whether a revision is accepted moves to the membership package, which owns confirmations. It now counts only confirmations that are fresh, because a VM that restarted since may not know the revision any more.

--- a/features/steps/_mesh_fleet.py
+++ b/features/steps/_mesh_fleet.py
@@ -36,9 +36,7 @@
         start_mesh_entry(programs, number, ports)
     for number in range(1, entries + 1):
         programs.wait_until_served(f"operators-{number}")
-    return configure(
-        programs, programs.addresses["engine"], programs.addresses["service"]
-    )
+    return configure(programs)
 
 
 def start_link(programs: Programs, number: int) -> None:
--- a/tests/support/__init__.py
+++ b/tests/support/__init__.py
@@ -11,6 +11,9 @@
 from tests.support._memory_log import (
     MemoryLog,
 )
+from tests.support._operator_calls import (
+    OperatorCalls,
+)
 from tests.support._recording_store import (
     RecordingStore,
 )
@@ -28,6 +31,7 @@
     "HeldLog",
     "LeaseProcess",
     "MemoryLog",
+    "OperatorCalls",
     "RecordingStore",
     "ScriptedPeer",
     "SimulatedMesh",
--- a/wisteriagw/config/_config_state.py
+++ b/wisteriagw/config/_config_state.py
@@ -25,6 +25,11 @@
         Customer of each valid key, by the SHA-256 of the key.
     draining : frozenset of str
         Backend servers that shall get no new work.
+    sheet_operator : str
+        Operator who published the sheet in force.
+    void_keys : frozenset of bytes
+        Keys that were withdrawn before their ``KeyGiven`` was read. An append whose
+        reply was lost can take effect after the withdrawal.
     """
 
     revision: int
@@ -33,3 +38,5 @@
     customers: frozenset[str]
     key_customers: dict[bytes, str]
     draining: frozenset[str]
+    sheet_operator: str = ""
+    void_keys: frozenset[bytes] = frozenset()
--- a/wisteriagw/entry/_chat_resource.py
+++ b/wisteriagw/entry/_chat_resource.py
@@ -46,8 +46,8 @@
         context = self._context
         if refuse_without_permit(request, context.membership, not_run=True):
             return NOT_DONE_YET
-        customer = authenticate(request, context.config)
-        if customer is None:
+        caller = authenticate(request, context.config)
+        if caller is None:
             write_error(request, 401, "invalid_key", "no valid key", not_run=True)
             return NOT_DONE_YET
         if request.body_too_large:
@@ -68,12 +68,13 @@
             message = f"no model {chat.model!r} with adapter {chat.adapter!r}"
             write_error(request, 404, "unknown_model", message, not_run=True)
             return NOT_DONE_YET
+        context.callers.add(caller.key_hash, request)
         request_id = secrets.token_hex(REQUEST_ID_BYTES)
         if chat.stream:
             context.open_streams.add(request)
         sink_type = StreamSink if chat.stream else WholeSink
         sink = sink_type(request, request_id, chat.model)
-        plan = GenerationPlan(request_id, customer, chat, deadline)
+        plan = GenerationPlan(request_id, caller.customer, chat, deadline)
         context.retries.count_request()
         GenerationRelay(context, request, sink, plan).start()
         return NOT_DONE_YET
--- a/wisteriagw/entry/_requests_resource.py
+++ b/wisteriagw/entry/_requests_resource.py
@@ -44,8 +44,8 @@
         context = self._context
         if refuse_without_permit(request, context.membership, not_run=False):
             return NOT_DONE_YET
-        customer = authenticate(request, context.config)
-        if customer is None:
+        caller = authenticate(request, context.config)
+        if caller is None:
             write_error(request, 401, "invalid_key", "no valid key", not_run=False)
             return NOT_DONE_YET
         try:
@@ -63,9 +63,10 @@
         if context.get_address(backend_server) is None or not request_id:
             write_error(request, 404, "not_found", "unknown request", not_run=False)
             return NOT_DONE_YET
+        context.callers.add(caller.key_hash, request)
         context.open_streams.add(request)
         sink = StreamSink(request, request_id, "")
-        plan = GenerationPlan(request_id, customer, None, deadline)
+        plan = GenerationPlan(request_id, caller.customer, None, deadline)
         GenerationRelay(context, request, sink, plan).resume(backend_server, start)
         return NOT_DONE_YET
 
--- a/wisteriagw/entry/_service_resource.py
+++ b/wisteriagw/entry/_service_resource.py
@@ -66,15 +66,18 @@
             message = f"no route {method} {place.path} of service {place.service!r}"
             write_error(request, 404, "unknown_service", message, not_run=True)
             return NOT_DONE_YET
-        customer = authenticate(request, self._context.config)
-        if customer is None and not route["open"]:
+        caller = authenticate(request, self._context.config)
+        if caller is None and not route["open"]:
             write_error(request, 401, "invalid_key", "no valid key", not_run=True)
             return NOT_DONE_YET
         if request.body_too_large:
             message = "the body is too large"
             write_error(request, 413, "body_too_large", message, not_run=True)
             return NOT_DONE_YET
-        self._call(request, route, customer or "", place, deadline)
+        if caller is not None:
+            self._context.callers.add(caller.key_hash, request)
+        customer = caller.customer if caller else ""
+        self._call(request, route, customer, place, deadline)
         return NOT_DONE_YET
 
     @inlineCallbacks
--- a/wisteriagw/follower/__init__.py
+++ b/wisteriagw/follower/__init__.py
@@ -2,7 +2,18 @@
 
 from __future__ import annotations
 
-from wisteriagw.follower._record_history import RecordHistory
-from wisteriagw.follower._stream_follower import StreamFollower
+from wisteriagw.follower._checkpoint_writer import (
+    CheckpointWriter,
+)
+from wisteriagw.follower._record_history import (
+    RecordHistory,
+)
+from wisteriagw.follower._stream_follower import (
+    StreamFollower,
+)
 
-__all__ = ["RecordHistory", "StreamFollower"]
+__all__ = [
+    "CheckpointWriter",
+    "RecordHistory",
+    "StreamFollower",
+]
--- a/wisteriagw/leases/_lease_keeper.py
+++ b/wisteriagw/leases/_lease_keeper.py
@@ -76,7 +76,12 @@
         self._clock = clock
         self._make_nonce = make_nonce
         self._follower = StreamFollower(
-            log, LEASES_STREAM, build_empty_leases(), apply_record, clock, lose_records
+            log,
+            LEASES_STREAM,
+            build_empty_leases(),
+            apply_record,
+            clock,
+            lose_records=lose_records,
         )
         self._observation: Observation | None = None
         self._appends: dict[str, float] = {}
--- a/wisteriagw/membership/__init__.py
+++ b/wisteriagw/membership/__init__.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+from wisteriagw.membership._acceptance import Acceptance
+from wisteriagw.membership._acceptance_decision import decide_acceptance
 from wisteriagw.membership._addresses import choose_entry_vms
 from wisteriagw.membership._confirmation import Confirmation
 from wisteriagw.membership._confirmations import (
     CONFIRMATION_SECONDS,
     list_confirmations,
 )
-from wisteriagw.membership._evidence import PERMIT_SECONDS, Evidence
+from wisteriagw.membership._evidence import PERMIT_SECONDS, SUMMARY_SECONDS, Evidence
 from wisteriagw.membership._heartbeat_facts import HeartbeatFacts
 from wisteriagw.membership._heartbeats import build_heartbeat
 from wisteriagw.membership._links import list_direct_peers, list_relay_peers
@@ -56,6 +58,10 @@
 from wisteriagw.membership._vm_status import VmStatus
 
 __all__ = [
+    "PERMIT_SECONDS",
+    "SUMMARY_SECONDS",
+    "Acceptance",
+    "decide_acceptance",
     "CONFIRMATION_SECONDS",
     "FAIL_SECONDS",
     "HEARTBEAT_SECONDS",
--- a/wisteriagw/records/__init__.py
+++ b/wisteriagw/records/__init__.py
@@ -14,6 +14,9 @@
 from wisteriagw.records._call_finished import (
     CallFinished,
 )
+from wisteriagw.records._checkpoint_part import (
+    CheckpointPart,
+)
 from wisteriagw.records._codec import (
     decode_record,
     encode_record,
@@ -78,6 +81,7 @@
     "CallBatch",
     "CallClaimed",
     "CallFinished",
+    "CheckpointPart",
     "CustomerCreated",
     "DrainEnded",
     "DrainRequested",
--- a/wisteriagw/records/_audit_entry.py
+++ b/wisteriagw/records/_audit_entry.py
@@ -1,4 +1,4 @@
-"""Log record: entry of the audit trail."""
+"""Log record: an entry of the audit trail."""
 
 from __future__ import annotations
 
@@ -9,34 +9,30 @@
 
 @register_record
 class AuditEntry(NamedTuple):
-    """An action and its result.
+    """Who changed what, why, and what came of it.
 
     Attributes
     ----------
-    actor : str
-        Operator, or program and VM.
-    action, subject : str
-        What was done to what.
-    customer : str
-        Customer concerned, empty if none is.
-    before, after : dict
-        State of the subject as far as the action concerns it.
+    actor, action, subject, customer : str
+        Who did what to which thing; the customer is empty where none is concerned.
+    before, after : str
+        The changed value in short text form.
     cause : str
-        Why it was done.
+        Reason that the actor gave.
     revision : int
-        Configuration revision that it rests on.
+        Revision of the configuration that the change got, -1 if none is known.
     result : str
-        What became of it.
+        ``accepted``, ``refused`` or ``unknown``.
     at : float
-        Wall time in seconds.
+        Wall clock in seconds.
     """
 
     actor: str
     action: str
     subject: str
     customer: str
-    before: dict
-    after: dict
+    before: str
+    after: str
     cause: str
     revision: int
     result: str
