--- /dev/null
+++ b/wisteriagw/control/_control_context.py
@@ -0,0 +1,78 @@
+"""State that the parts of a control process share."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from wisteriagw.config import apply_record, build_empty_config
+from wisteriagw.control._audit_trail import AuditTrail
+from wisteriagw.control._authority import Authority
+from wisteriagw.control._engine_report import EngineReport
+from wisteriagw.control._engines_client import EnginesClient
+from wisteriagw.control._fleet_view import FleetView
+from wisteriagw.control._receiver import Receiver
+from wisteriagw.follower import StreamFollower
+from wisteriagw.orders import apply_record as apply_order_record
+from wisteriagw.platform import BackendsClient, VmListClient
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wisteriagw.config import BackendServerRow
+    from wisteriagw.http import HttpClient
+    from wisteriagw.leases import LeaseKeeper
+    from wisteriagw.platform import LogClient
+
+CONFIG_STREAM = "config"
+ORDERS_STREAM = "orders"
+
+
+class ControlContext:
+    """Clients, folds and receivers of one control process."""
+
+    def __init__(
+        self,
+        settings: dict[str, Any],
+        client: HttpClient,
+        log: LogClient,
+        keeper: LeaseKeeper,
+        clock: Callable[[], float],
+    ) -> None:
+        self.settings = settings
+        self.log = log
+        self.clock = clock
+        self.authority = Authority(keeper, clock)
+        self.audit = AuditTrail(log)
+        self.engines_client = EnginesClient(client)
+        self.vm_list = VmListClient(client, settings["vm-list"])
+        self.backends_client = None
+        if settings["backends"] is not None:
+            self.backends_client = BackendsClient(client, settings["backends"])
+        self.backends = Receiver()
+        self.engines: dict[str, Receiver] = {}
+        self.config_follower = StreamFollower(
+            log, CONFIG_STREAM, build_empty_config(), apply_record, clock
+        )
+        self.orders_follower = StreamFollower(
+            log, ORDERS_STREAM, {}, apply_order_record, clock
+        )
+
+    def list_engines(self) -> list[BackendServerRow]:
+        """Return the engines on the sheet in force."""
+        rows = self.config_follower.state.sheet["backend_servers"]
+        return [row for row in rows if row["kind"] == "engine"]
+
+    def get_engine(self, name: str) -> Receiver:
+        """Return what is kept for an engine."""
+        return self.engines.setdefault(name, Receiver())
+
+    def build_fleet_view(self) -> FleetView:
+        """Return the input of the planner."""
+        config = self.config_follower.state
+        reports = []
+        for row in self.list_engines():
+            engine = self.get_engine(row["name"])
+            draining = row["name"] in config.draining
+            reports.append(EngineReport(row, engine.state, engine.read_at, draining))
+        orders = self.backends.state or ()
+        return FleetView(config.revision, config.sheet, tuple(reports), orders)
--- /dev/null
+++ b/wisteriagw/control/_main.py
@@ -0,0 +1,127 @@
+"""The control program."""
+
+from __future__ import annotations
+
+import logging
+import secrets
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import reactor
+from twisted.internet.defer import gatherResults, inlineCallbacks
+from twisted.internet.task import LoopingCall, deferLater
+from twisted.web.resource import Resource
+from twisted.web.server import Site
+
+from wisteriagw.clocks import read_boot_time
+from wisteriagw.control._control_context import ControlContext
+from wisteriagw.control._dispatch import (
+    dispatch_order,
+    read_backends,
+    read_engine,
+    settle_needs,
+)
+from wisteriagw.control._options import OPTIONS
+from wisteriagw.control._planner import plan_fleet
+from wisteriagw.control._status_resource import StatusResource
+from wisteriagw.http import BoundedRequest, HttpClient
+from wisteriagw.leases import LeaseKeeper, ProcessIdentity
+from wisteriagw.platform import (
+    HttpLogClient,
+    LogUnavailableError,
+    VmListUnavailableError,
+)
+from wisteriagw.settings import load_settings
+from wisteriagw.telemetry import start_logging
+
+if TYPE_CHECKING:
+    from collections.abc import Generator
+
+    from twisted.internet.defer import Deferred
+
+logger = logging.getLogger(__name__)
+
+PROGRAM = "wisteriagw-control"
+DESCRIPTION = "Gives orders to engines and to the platform, one process at a time."
+FLEET_AUTHORITY = "fleet"
+INCARNATION_BYTES = 8
+# A release that the log does not take in this time is left to the next process.
+RELEASE_SECONDS = 5.0
+
+
+def main() -> None:
+    """Run the control program."""
+    settings = load_settings(PROGRAM, DESCRIPTION, OPTIONS)
+    start_logging("control", settings["log-level"])
+    host, port = settings["listen"]
+    identity = ProcessIdentity(
+        settings["vm"], secrets.token_hex(INCARNATION_BYTES), f"{host}:{port}"
+    )
+    client = HttpClient(reactor)
+    log = HttpLogClient(client, settings["log"])
+    keeper = LeaseKeeper(log, FLEET_AUTHORITY, identity, read_boot_time)
+    context = ControlContext(settings, client, log, keeper, read_boot_time)
+    root = Resource()
+    root.putChild(b"status", StatusResource(context))
+    site = Site(root, requestFactory=BoundedRequest)
+    # The address is bound before the first claim and until the process ends: a later
+    # process that can bind it thereby proves that this one has ended.
+    reactor.listenTCP(port, site, interface=host)
+    LoopingCall(_run_logged, _follow, context).start(settings["poll-seconds"])
+    LoopingCall(_run_logged, _plan, context).start(settings["plan-seconds"], now=False)
+    reactor.addSystemEventTrigger("before", "shutdown", _release, context)
+    reactor.run()
+
+
+def _run_logged(function: Any, context: ControlContext) -> Deferred[None]:
+    """Run one turn of a loop; an unexpected fault must not end the loop."""
+    turn = function(context)
+    turn.addErrback(lambda failure: logger.error("%s", failure.getTraceback()))
+    return turn
+
+
+@inlineCallbacks
+def _follow(context: ControlContext) -> Generator[Deferred[Any], Any, None]:
+    """Keep the VM list, the authority and the configuration up to date."""
+    keeper = context.authority.keeper
+    started, through = context.clock(), keeper.through
+    try:
+        vms = yield context.vm_list.list_vms()
+        keeper.set_vms(frozenset(vm.name for vm in vms), started, through)
+    except VmListUnavailableError as error:
+        logger.warning("the VM list cannot be read: %s", error)
+    try:
+        yield keeper.run_turn()
+        yield context.config_follower.poll()
+        yield context.orders_follower.poll()
+    except LogUnavailableError as error:
+        logger.warning("the log cannot be read: %s", error)
+    context.authority.refresh()
+
+
+@inlineCallbacks
+def _plan(context: ControlContext) -> Generator[Deferred[Any], Any, None]:
+    """Run one turn of the planner and carry its orders out as far as they may go."""
+    if context.authority.keeper.get_fencing_number() is None:
+        return
+    readings = [read_engine(context, row["name"]) for row in context.list_engines()]
+    yield gatherResults([*readings, read_backends(context)])
+    orders = plan_fleet(context.build_fleet_view(), context.clock())
+    try:
+        for order in orders:
+            yield dispatch_order(order, context)
+        yield settle_needs(context)
+    except LogUnavailableError as error:
+        logger.warning("the orders of this turn wait for the log: %s", error)
+    yield context.audit.flush()
+
+
+@inlineCallbacks
+def _release(context: ControlContext) -> Generator[Deferred[Any], Any, None]:
+    """Give the authority up so that another process need not wait for the term."""
+    keeper = context.authority.keeper
+    keeper.stopping = True
+    deadline = context.clock() + RELEASE_SECONDS
+    # The loop that follows the log writes the release.
+    while context.clock() < deadline and not keeper.is_released():
+        yield deferLater(reactor, context.settings["poll-seconds"])
+    yield context.audit.flush()
--- a/wisteriagw/orders/__init__.py
+++ b/wisteriagw/orders/__init__.py
@@ -6,8 +6,10 @@
 from wisteriagw.orders._decisions import (
     RESEND_SECONDS,
     SETTLE_SECONDS,
+    check_receiver,
     decide_engine_order,
     decide_need,
+    find_settled,
     is_satisfied,
 )
 from wisteriagw.orders._encoding import encode_order
@@ -41,8 +43,10 @@
     "OrderStep",
     "ReceiverView",
     "apply_record",
+    "check_receiver",
     "decide_engine_order",
     "decide_need",
     "encode_order",
+    "find_settled",
     "is_satisfied",
 ]
--- a/wisteriagw/orders/_decisions.py
+++ b/wisteriagw/orders/_decisions.py
@@ -32,7 +32,7 @@
     order: Any, state: EngineState | None, view: ReceiverView, now: float
 ) -> OrderStep:
     """Return the next step with an order to an engine."""
-    blocked = _check_receiver(view, now)
+    blocked = check_receiver(view, now)
     if blocked is not None:
         return blocked
     if state is None:
@@ -66,7 +66,7 @@
     now : float
         The time in seconds.
     """
-    blocked = _check_receiver(view, now)
+    blocked = check_receiver(view, now)
     if blocked is not None:
         return blocked
     for one in listed:
@@ -80,6 +80,19 @@
     return OrderStep("send", "the interface does not list the order")
 
 
+def find_settled(
+    intents: dict[str, str], listed: Iterable[ListedOrder]
+) -> list[ListedOrder]:
+    """Return the listed orders that have ended and whose ids the log still holds."""
+    settled = []
+    for one in listed:
+        if one.state not in ("reclaimed", "given_back"):
+            continue
+        if intents.get(one.need) == one.order_id:
+            settled.append(one)
+    return settled
+
+
 @singledispatch
 def is_satisfied(order: Any, state: EngineState) -> bool:
     """Return whether an engine is as an order wants it."""
@@ -106,7 +119,8 @@
     return order.adapter in state.adapters
 
 
-def _check_receiver(view: ReceiverView, now: float) -> OrderStep | None:
+def check_receiver(view: ReceiverView, now: float) -> OrderStep | None:
+    """Return what keeps every order from a receiver now, or None."""
     if view.fencing_number is None:
         return OrderStep("wait", "this process does not hold the authority")
     known_since = max(view.granted_at, view.sent_at)
