Test the control program's orders under faults and repeat refused orders

A state read at the very time of a send counted as newer than the send, so that an engine could get the order twice; the test with a lost reply found it. An order that certainly had no effect now leaves the waiting time alone.

--- a/tests/support/__init__.py
+++ b/tests/support/__init__.py
@@ -2,9 +2,16 @@
 
 from __future__ import annotations
 
+from tests.support._fake_platform import FakePlatform
 from tests.support._lease_process import LeaseProcess
 from tests.support._memory_log import MemoryLog
 from tests.support._recording_store import RecordingStore
 from tests.support._virtual_clock import VirtualClock
 
-__all__ = ["LeaseProcess", "MemoryLog", "RecordingStore", "VirtualClock"]
+__all__ = [
+    "FakePlatform",
+    "LeaseProcess",
+    "MemoryLog",
+    "RecordingStore",
+    "VirtualClock",
+]
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -392,11 +392,26 @@
         self.world.log.down = False
         self.world.log.lose_replies = lost
 
-    @rule(number=PROCESSES)
-    def hold_one_append(self, number: int) -> None:
+    @rule(
+        number=PROCESSES,
+        seconds=st.sampled_from((1, 3)),
+        silence=st.sampled_from((0, 11)),
+        lands=st.booleans(),
+    )
+    def hold_appends(
+        self, number: int, seconds: int, silence: int, lands: bool
+    ) -> None:
+        """Let appends of a process wait, and time pass without the others."""
         self.world.log.hold_appends = True
-        self.world.run(1, number)
+        self.world.run(seconds, number)
         self.world.log.hold_appends = False
+        for process in self.world.processes:
+            if process is not None:
+                process.advance(silence)
+        self.world.now += silence
+        if lands:
+            self.world.log.release()
+            self.world.run(1, number)
 
     @rule()
     def land_late(self) -> None:
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -39,6 +39,11 @@
     ),
     ("reply lost after the read", {"sent_at": NOW - 0.1, "read_at": NOW - 0.2}, "read"),
     ("read under an earlier grant", {"granted_at": NOW, "read_at": NOW - 0.1}, "read"),
+    (
+        "sent at the time of the read",
+        {"sent_at": NOW - 0.5, "read_at": NOW - 0.5},
+        "read",
+    ),
     ("old state", {"read_at": NOW - 5}, "read"),
 )
 
--- a/wisteriagw/control/_dispatch.py
+++ b/wisteriagw/control/_dispatch.py
@@ -31,9 +31,12 @@
 if TYPE_CHECKING:
     from collections.abc import Generator
 
+    from wisteriagw.control._receiver import Receiver
     from wisteriagw.outcomes import Outcome
 
 ORDER_ID_BYTES = 8
+# Status with which receivers refuse an order before it has any effect.
+REFUSED_STATUS = 409
 # A turn reads the receiver, writes an intent and sends, each at most once.
 MAX_STEPS = 3
 
@@ -110,12 +113,10 @@
         if step.action != "send":
             return
         order_id = secrets.token_hex(ORDER_ID_BYTES)
-        engine.sent_at = context.clock()
         sending = context.engines_client.send_order(
             _find_address(context, order.engine), order, order_id, view.fencing_number
         )
-        outcome = yield _track(context, sending)
-        engine.sent_at = context.clock()
+        outcome = yield _track(context, engine, sending)
         before = dict(engine.state._asdict())
         _audit(context, order, order.engine, before, step.reason, outcome)
         return
@@ -181,24 +182,32 @@
     number = context.authority.keeper.get_fencing_number()
     if number is None:
         return
-    context.backends.sent_at = context.clock()
     sending = context.backends_client.send_order(order, order_id, number)
-    outcome = yield _track(context, sending)
-    context.backends.sent_at = context.clock()
+    outcome = yield _track(context, context.backends, sending)
     _audit(context, order, f"order {order_id}", {}, cause, outcome)
 
 
 @inlineCallbacks
 def _track(
-    context: ControlContext, sending: Deferred[Outcome]
+    context: ControlContext, receiver: Receiver, sending: Deferred[Outcome]
 ) -> Generator[Deferred[Any], Any, Outcome]:
     keeper = context.authority.keeper
+    sent_before = receiver.sent_at
+    receiver.sent_at = context.clock()
     keeper.busy = True
     outcome = yield sending
     keeper.busy = False
+    receiver.sent_at = sent_before if _has_not_run(outcome) else context.clock()
     return outcome
 
 
+def _has_not_run(outcome: Outcome) -> bool:
+    """Return whether an order certainly had no effect, so that it may go again."""
+    if isinstance(outcome, Done):
+        return outcome.status == REFUSED_STATUS
+    return isinstance(outcome, FailedNotRun)
+
+
 def _view_backends(context: ControlContext) -> Any:
     checks = context.settings["backends-check-fencing"] == "true"
     return context.authority.view(context.backends, checks_fencing=checks)
--- a/wisteriagw/control/_main.py
+++ b/wisteriagw/control/_main.py
@@ -66,7 +66,7 @@
     # The address is bound before the first claim and until the process ends: a later
     # process that can bind it thereby proves that this one has ended.
     reactor.listenTCP(port, site, interface=host)
-    LoopingCall(_run_logged, _follow, context).start(settings["poll-seconds"])
+    LoopingCall(_run_logged, follow, context).start(settings["poll-seconds"])
     LoopingCall(_run_logged, _plan, context).start(settings["plan-seconds"], now=False)
     reactor.addSystemEventTrigger("before", "shutdown", _release, context)
     reactor.run()
@@ -80,7 +80,7 @@
 
 
 @inlineCallbacks
-def _follow(context: ControlContext) -> Generator[Deferred[Any], Any, None]:
+def follow(context: ControlContext) -> Generator[Deferred[Any], Any, None]:
     """Keep the VM list, the authority and the configuration up to date."""
     keeper = context.authority.keeper
     started, through = context.clock(), keeper.through
--- a/wisteriagw/orders/_decisions.py
+++ b/wisteriagw/orders/_decisions.py
@@ -130,7 +130,7 @@
         if now < view.proved_at + SETTLE_SECONDS:
             return OrderStep("wait", "orders of an earlier holder may still arrive")
         known_since = max(known_since, view.proved_at + SETTLE_SECONDS)
-    if view.read_at < known_since:
+    if view.read_at <= known_since:
         return OrderStep("read", "the state was last read before it may have changed")
     if now - view.read_at > MAX_STATE_AGE_SECONDS:
         return OrderStep("read", "the state is too old")
