--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -37,3 +37,15 @@
         follower.poll().addErrback(failures.append)
         assert failures[0].check(LogUnavailableError)
         assert follower.last_tip_read_at == read_at
+
+    def test_records_removed_before_they_were_read_are_told_to_the_fold(self) -> None:
+        # An empty page behind the tip must not be read again and again.
+        log, clock = MemoryLog(max_records=0), VirtualClock()
+        for _ in range(3):
+            log.append("config", b"")
+        follower = StreamFollower(
+            log, "config", [], lambda *_: None, clock, lambda state, first: [first]
+        )
+        follower.poll()
+        assert follower.state == [3]
+        assert follower.last_tip_read_at == clock()
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -16,6 +16,7 @@
     apply_record,
     decide_engine_order,
     decide_need,
+    find_settled,
     is_satisfied,
 )
 from wisteriagw.records import OrderIntent, OrderSettled
@@ -115,3 +116,8 @@
         state = apply_record(first._replace(order_id="o-2", grant=5), state, 1)
         assert state == {"n": "o-1"}
         assert apply_record(OrderSettled("n", "o-1", "given_back"), state, 2) == {}
+
+    def test_only_ended_orders_with_a_kept_id_are_settled(self) -> None:
+        ended = LISTED._replace(state="reclaimed")
+        other = ended._replace(order_id="o-7")
+        assert find_settled({NEED.need: "o-9"}, (LISTED, other, ended)) == [ended]
