--- a/tests/support/_fake_platform.py
+++ b/tests/support/_fake_platform.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import succeed
 
 from wisteriagw.outcomes import Done, FailedNotRun, MayHaveRun
+from wisteriagw.platform import VmEntry
 from wisteriagw.standins._backends_store import BackendsStore
 from wisteriagw.standins._engine_orders import EngineOrders
 
@@ -34,6 +35,7 @@
     def __init__(self, clock: Callable[[], float], *, checks_fencing: bool) -> None:
         self.fault = ""
         self.vms: list[str] = []
+        self.leaving: set[str] = set()
         self.calls: list[str] = []
         self.store = BackendsStore(clock)
         self.engine = EngineOrders(clock, 3, checks_fencing=checks_fencing)
@@ -44,8 +46,9 @@
     ) -> Deferred[Any]:
         """Give the outcome of a call."""
         if address == VM_LIST:
-            fields = {"data_centre": "dc1", "host": "127.0.0.1", "leaving": False}
-            return _reply([{"name": name, **fields} for name in self.vms])
+            return _reply(
+                [VmEntry(vm, "d", "h", vm in self.leaving)._asdict() for vm in self.vms]
+            )
         self.calls.append(f"{method} {path}")
         if method == "GET":
             return self._read(address)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -144,6 +144,20 @@
         assert len(fleet.platform.store.list_orders()) == 1
 
 
+class TestLeavingVm:
+    """Guards against an authority that waits for the end of the term for no reason."""
+
+    def test_holder_on_a_leaving_vm_hands_over(self) -> None:
+        fleet = Fleet()
+        fleet.run(ROLE, 20)
+        fleet.platform.leaving = {"vm-0"}
+        fleet.run(ROLE, 4)
+        keepers = [context.authority.keeper for context in fleet.contexts]
+        assert keepers[0].get_fencing_number() is None
+        assert keepers[1].get_fencing_number() is not None
+        assert keepers[1].find_unproved() == ()
+
+
 class TestPlanner:
     """Guards against role changes that the sheet does not ask for."""
 
--- a/wisteriagw/control/_main.py
+++ b/wisteriagw/control/_main.py
@@ -87,6 +87,9 @@
     try:
         vms = yield context.vm_list.list_vms()
         keeper.set_vms(frozenset(vm.name for vm in vms), started, through)
+        # A leaving VM hands the authority over while it still can.
+        if (context.settings["vm"], True) in [(vm.name, vm.leaving) for vm in vms]:
+            keeper.stopping = True
     except VmListUnavailableError as error:
         logger.warning("the VM list cannot be read: %s", error)
     try:
