--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -52,15 +52,15 @@
         return process
 
     def run(self, seconds: int, *numbers: int) -> None:
-        """Let time pass; the processes with these numbers take a turn each second."""
+        """Let time pass; these processes, or all, take a turn each second."""
         for _ in range(seconds):
             self.now += 1
             for process in self.processes:
                 if process is not None:
                     process.advance(1)
-            for number in numbers or (0, 1, 2):
-                if self.processes[number] is not None:
-                    self.processes[number].run_turn(self.vms)
+            for number, process in enumerate(self.processes):
+                if process is not None and number in (numbers or (0, 1, 2)):
+                    process.run_turn(self.vms)
 
     def get_numbers(self, *, fenced: bool = True) -> list:
         """Return the fencing numbers that the processes would send orders with."""
@@ -395,23 +395,25 @@
     @rule(
         number=PROCESSES,
         seconds=st.sampled_from((1, 3)),
-        silence=st.sampled_from((0, 11)),
+        between=st.sampled_from(("nothing", "silence", "others")),
         lands=st.booleans(),
     )
     def hold_appends(
-        self, number: int, seconds: int, silence: int, lands: bool
+        self, number: int, seconds: int, between: str, lands: bool
     ) -> None:
-        """Let appends of a process wait, and time pass without the others."""
-        self.world.log.hold_appends = True
-        self.world.run(seconds, number)
-        self.world.log.hold_appends = False
-        for process in self.world.processes:
-            if process is not None:
-                process.advance(silence)
-        self.world.now += silence
+        """Let appends of a process wait while time passes or the others go on."""
+        world = self.world
+        world.log.hold_appends = True
+        world.run(seconds, number)
+        world.log.hold_appends = False
+        if between == "others":
+            world.run(16, *({0, 1, 2} - {number}))
+        if between == "silence":
+            world.run(11, 3)
         if lands:
-            self.world.log.release()
-            self.world.run(1, number)
+            world.log.release()
+            self.only_the_holder_acts_and_within_its_term()
+            world.run(1, number)
 
     @rule()
     def land_late(self) -> None:
