--- a/tests/support/__init__.py
+++ b/tests/support/__init__.py
@@ -2,32 +2,18 @@
 
 from __future__ import annotations
 
-from tests.support._held_log import (
-    HeldLog,
-)
-from tests.support._lease_process import (
-    LeaseProcess,
-)
-from tests.support._memory_log import (
-    MemoryLog,
-)
-from tests.support._operator_calls import (
-    OperatorCalls,
-)
-from tests.support._recording_store import (
-    RecordingStore,
-)
-from tests.support._scripted_peer import (
-    ScriptedPeer,
-)
-from tests.support._simulated_mesh import (
-    SimulatedMesh,
-)
-from tests.support._virtual_clock import (
-    VirtualClock,
-)
+from tests.support._fake_platform import FakePlatform
+from tests.support._held_log import HeldLog
+from tests.support._lease_process import LeaseProcess
+from tests.support._memory_log import MemoryLog
+from tests.support._operator_calls import OperatorCalls
+from tests.support._recording_store import RecordingStore
+from tests.support._scripted_peer import ScriptedPeer
+from tests.support._simulated_mesh import SimulatedMesh
+from tests.support._virtual_clock import VirtualClock
 
 __all__ = [
+    "FakePlatform",
     "HeldLog",
     "LeaseProcess",
     "MemoryLog",
--- a/tools/write_reference.py
+++ b/tools/write_reference.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from wisteriagw.admin import build_parser
+from wisteriagw.control import OPTIONS as CONTROL_OPTIONS
 from wisteriagw.entry import OPTIONS as ENTRY_OPTIONS
 from wisteriagw.settings import describe_kind, get_variable
 from wisteriagw.standins import PROGRAM_OPTIONS as STANDIN_OPTIONS
@@ -21,7 +22,11 @@
 
 DOCS = pathlib.Path(__file__).parent.parent / "docs"
 NOTE = "This page is written by `make reference`; CI checks that it matches the code.\n"
-PROGRAM_OPTIONS = {"wisteriagw-entry": ENTRY_OPTIONS, **STANDIN_OPTIONS}
+PROGRAM_OPTIONS = {
+    "wisteriagw-entry": ENTRY_OPTIONS,
+    "wisteriagw-control": CONTROL_OPTIONS,
+    **STANDIN_OPTIONS,
+}
 
 
 def build_settings_page() -> str:
--- a/wisteriagw/entry/_entry_context.py
+++ b/wisteriagw/entry/_entry_context.py
@@ -6,6 +6,7 @@
 
 from twisted.internet.defer import inlineCallbacks, succeed
 
+from wisteriagw.audit import AuditWriter
 from wisteriagw.clocks import read_wall_time
 from wisteriagw.config import (
     CONFIG_CODEC,
@@ -14,7 +15,6 @@
     find_refusal,
 )
 from wisteriagw.entry._applied_change import AppliedChange
-from wisteriagw.entry._audit_writer import AuditWriter
 from wisteriagw.entry._change_journal import ChangeJournal
 from wisteriagw.entry._config_changes import CONFIG_STREAM
 from wisteriagw.entry._decision_ring import DecisionRing
--- a/wisteriagw/entry/_operators_audit.py
+++ b/wisteriagw/entry/_operators_audit.py
@@ -9,8 +9,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
-from wisteriagw.entry._audit_filter import AuditFilter
-from wisteriagw.entry._audit_writer import AUDIT_STREAM
+from wisteriagw.audit import AUDIT_STREAM, AuditFilter
 from wisteriagw.entry._query import read_number, read_text
 from wisteriagw.http import write_error, write_json
 from wisteriagw.platform import LogUnavailableError
