--- a/features/membership.feature
+++ b/features/membership.feature
@@ -13,7 +13,10 @@
     And an operator withdraws the key and gives another at entry VM 1
     And 5 seconds pass
     Then entry VM 2 serves the new key and refuses the old one
-    When entry VM 1 is killed
+    When a caller opens a stream of 3000 tokens at entry VM 2
+    And entry VM 1 is killed
     And entry VM 3 is killed
     And 4 seconds pass
     Then entry VM 2 refuses with no_permit and says not run
+    When 3 seconds pass
+    Then the stream has been broken off
--- a/features/steps/_programs.py
+++ b/features/steps/_programs.py
@@ -4,6 +4,7 @@
 
 import json
 import pathlib
+import random
 import socket
 import subprocess
 import sys
@@ -14,6 +15,9 @@
 
 BIN = pathlib.Path(sys.executable).parent
 START_SECONDS = 20.0
+# Below the range from which the kernel takes the ports of outgoing connections: a port
+# of that range can be taken between its choice and the start of the program.
+PORTS = range(15_000, 32_000)
 
 
 class Programs:
@@ -25,10 +29,14 @@
 
     def reserve(self, name: str) -> str:
         """Return a free loopback address and remember it under a name."""
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            self.addresses[name] = f"127.0.0.1:{probe.getsockname()[1]}"
-        return self.addresses[name]
+        taken = {address.rpartition(":")[2] for address in self.addresses.values()}
+        while True:
+            port = random.choice(PORTS)
+            with socket.socket() as probe:
+                if str(port) in taken or probe.connect_ex(("127.0.0.1", port)) == 0:
+                    continue
+            self.addresses[name] = f"127.0.0.1:{port}"
+            return self.addresses[name]
 
     def stop(self, name: str) -> None:
         """Kill one process."""
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
+import http.client
 import json
 import time
+import urllib.request
 
 from behave import given, then, when
 
@@ -45,6 +48,28 @@
     time.sleep(seconds)
 
 
+@when("a caller opens a stream of {tokens:d} tokens at entry VM {number:d}")
+def step_open_stream(context, tokens: int, number: int) -> None:
+    body = {**build_prompt("ledger", tokens), "stream": True}
+    request = urllib.request.Request(
+        f"http://{context.programs.addresses[f'entry-{number}']}{CHAT_PATH}",
+        json.dumps(body).encode("utf-8"),
+        {"Authorization": f"Bearer {context.key}"},
+    )
+    context.stream = urllib.request.urlopen(request, timeout=60)
+
+
+@then("the stream has been broken off")
+def step_check_stream(context) -> None:
+    started = time.monotonic()
+    data = b""
+    with contextlib.suppress(http.client.IncompleteRead, ConnectionError):
+        data = context.stream.read()
+    # A stream that goes on takes 30 s in all and ends with a mark.
+    assert time.monotonic() - started < 2
+    assert b"[DONE]" not in data
+
+
 @then("entry VM {number:d} names the entry VMs {vms} within {seconds:d} s")
 def step_check_answers(context, number: int, vms: str, seconds: int) -> None:
     wait_for_vms(context, number, {int(vm) for vm in vms.split(",")}, seconds)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -21,6 +21,7 @@
     list_relay_peers,
     merge_signs,
 )
+from wisteriagw.membership._signs import forget_signs, select_signs
 from wisteriagw.messages import Heartbeat
 
 CALLERS = [f"10.0.{n // 250}.{n % 250}" for n in range(4000)]
@@ -139,8 +140,10 @@
 
     def test_pair_relay_is_one_of_two(self) -> None:
         vms = [f"vm-{n}" for n in range(20)]
-        chosen = {choose_pair_relay("a", f"dc{n}", vms) for n in range(20)}
-        assert chosen == set(choose_relays("a", vms))
+        names = [f"dc{n}" for n in range(21)]
+        chosen = Counter(choose_pair_relay("dc0", name, names, vms) for name in names)
+        assert set(chosen) == set(choose_relays("dc0", vms))
+        assert max(chosen.values()) == 11
 
 
 class TestSigns:
@@ -152,10 +155,10 @@
         seed=st.randoms(use_true_random=False),
     )
     def test_order_and_repeats_do_not_matter(self, heard, seed) -> None:
-        merged = merge_signs({}, heard)
+        merged = merge_signs({}, heard, 0.0)
         shuffled = [*heard, *heard]
         seed.shuffle(shuffled)
-        assert merge_signs({}, shuffled) == merged
+        assert merge_signs({}, shuffled, 0.0) == merged
         for backend_server, incarnation in heard:
             assert is_backend_leaving(merged, backend_server, incarnation)
             assert not is_backend_leaving(merged, backend_server, 4)
@@ -171,6 +174,14 @@
         for vm in mesh.vms.values():
             assert vm.membership.is_backend_leaving("engine-a")
 
+    def test_old_signs_take_turns_and_those_of_unknown_servers_end(self) -> None:
+        signs = merge_signs({}, [(f"engine-{n}", 0) for n in range(20)], 0.0)
+        assert len(select_signs(signs, 1, 1.0)) == 20
+        turns = [select_signs(signs, turn, 10.0) for turn in range(5)]
+        assert {len(turn) for turn in turns} == {4}
+        assert len(set().union(*turns)) == 20
+        assert set(forget_signs(signs, {"engine-3"}, 10.0)) == {"engine-3"}
+
 
 class TestAddresses:
     """Guards against answers that load one VM or leave a caller without another."""
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -26,14 +26,19 @@
 start engine-a "$BIN/wisteriagw-standin-engine" --listen 127.0.0.1:7821
 start engine-b "$BIN/wisteriagw-standin-engine" --listen 127.0.0.1:7822
 start levy-a "$BIN/wisteriagw-standin-service" --listen 127.0.0.1:7831
+start vms "$BIN/wisteriagw-standin-vms" --listen 127.0.0.1:7802 --lag-seconds 0
+# The entry VMs are told apart by their loopback address; all use the same ports.
 for n in 1 2 3; do
   start "entry-$n" "$BIN/wisteriagw-entry" --vm "vm-$n" --data-centre "dc$n" \
-    --listen "127.0.0.1:784$n" --operator-listen "127.0.0.1:785$n" \
-    --log 127.0.0.1:7801 \
-    --entry-addresses 127.0.0.1:7841,127.0.0.1:7842,127.0.0.1:7843
+    --listen "127.0.0.$n:7841" --operator-listen "127.0.0.$n:7851" \
+    --mesh-listen "127.0.0.$n:7861" --vm-list 127.0.0.1:7802 --log 127.0.0.1:7801
   [ "$n" = 1 ] && FIRST_ENTRY=$STARTED
 done
 
+for _ in $(seq 50); do
+  "$BIN/python" "$HERE/demo_vms.py" 127.0.0.1:7802 3 && break
+  sleep 0.2
+done
 export WISTERIAGW_OPERATOR_ADDRESS=127.0.0.1:7851
 for _ in $(seq 50); do
   "$BIN/wisteriagw-admin" --operator demo create-customer market-office \
@@ -43,7 +48,7 @@
 "$BIN/wisteriagw-admin" --operator demo publish "$HERE/demo_sheet.csv"
 KEY=$("$BIN/wisteriagw-admin" --operator demo give-key market-office |
   sed 's/.*"key": "\([^"]*\)".*/\1/')
-sleep 1.5
+sleep 3
 
 # The client prints "streaming" once tokens have arrived; then its entry VM is killed.
 mkfifo "$WORK/steps"
--- a/wisteriagw/membership/_confirmations.py
+++ b/wisteriagw/membership/_confirmations.py
@@ -8,7 +8,7 @@
 from wisteriagw.membership._evidence import PERMIT_SECONDS
 from wisteriagw.membership._member import NEVER
 from wisteriagw.membership._summaries import list_summaries
-from wisteriagw.membership._topology import is_split, list_data_centres
+from wisteriagw.membership._topology import is_split
 
 if TYPE_CHECKING:
     from wisteriagw.membership._membership_state import MembershipState
@@ -22,7 +22,7 @@
 ) -> list[Confirmation]:
     """Return what every VM on the VM list is known to hold, the own one included."""
     split = is_split(state)
-    names = list_data_centres(state)
+    names = state.data_centres
     confirmations = []
     for member in state.members.values():
         if member.vm == state.vm:
--- a/wisteriagw/membership/_links.py
+++ b/wisteriagw/membership/_links.py
@@ -8,7 +8,6 @@
 from wisteriagw.membership._topology import (
     choose_pair_relay,
     is_split,
-    list_data_centres,
 )
 from wisteriagw.membership._vm_status import VmStatus
 
@@ -38,14 +37,16 @@
         if get_status(state, member, now) is VmStatus.ALIVE:
             present.setdefault(member.data_centre, []).append(member.vm)
     peers = []
-    own = state.data_centre
-    for other in list_data_centres(state):
+    own, names = state.data_centre, state.data_centres
+    for other in names:
         if other == own:
             continue
-        if choose_pair_relay(own, other, present[own]) != state.vm:
+        if choose_pair_relay(own, other, names, present[own]) != state.vm:
             continue
         # A data centre that is not heard of is tried at its usual relay.
-        usual = choose_pair_relay(other, own, present.get(other) or listed[other])
+        usual = choose_pair_relay(
+            other, own, names, present.get(other) or listed[other]
+        )
         peers.extend(sorted({usual, *_list_speakers(state, other, now)} - {None}))
     return peers
 
--- a/wisteriagw/membership/_membership.py
+++ b/wisteriagw/membership/_membership.py
@@ -14,7 +14,12 @@
 from wisteriagw.membership._permit_decision import decide_permit
 from wisteriagw.membership._permit_view import PermitView
 from wisteriagw.membership._probes import choose_probes
-from wisteriagw.membership._signs import is_backend_leaving, merge_signs
+from wisteriagw.membership._signs import (
+    forget_signs,
+    is_backend_leaving,
+    merge_signs,
+    select_signs,
+)
 from wisteriagw.membership._status import list_available
 from wisteriagw.membership._summaries import (
     list_evidence,
@@ -27,6 +32,7 @@
     from collections.abc import Callable, Iterable
 
     from wisteriagw.follower import RecordHistory, StreamFollower
+    from wisteriagw.membership._backend_sign import BackendSign
     from wisteriagw.membership._confirmation import Confirmation
     from wisteriagw.membership._member import Member
     from wisteriagw.membership._membership_state import MembershipState
@@ -54,8 +60,8 @@
     ----------
     leaving : bool
         Set when the process shuts down: the VM is dropped from answers to callers.
-    signs : dict of str to int
-        Leaving backend servers with their incarnation.
+    signs : dict of str to BackendSign
+        Signs that backend servers are leaving.
     """
 
     def __init__(
@@ -72,7 +78,7 @@
         self.clock = clock
         self.send = send
         self.leaving = False
-        self.signs: dict[str, int] = {}
+        self.signs: dict[str, BackendSign] = {}
         self.last_config_request_at = NEVER
         self._established = False
         self._seq = 0
@@ -81,6 +87,8 @@
         """Send what is due; called once per heartbeat interval."""
         now = self.clock()
         self.state = begin_tick(self.state, now)
+        rows = self.follower.state.sheet["backend_servers"]
+        self.signs = forget_signs(self.signs, {row["name"] for row in rows}, now)
         facts = self._describe_self()
         for peer in list_direct_peers(self.state):
             self.send(peer, build_heartbeat(self.state, peer, facts, now))
@@ -104,7 +112,7 @@
 
     def merge_signs(self, heard: Iterable[tuple[str, int]]) -> None:
         """Take signs that backend servers are leaving."""
-        self.signs = merge_signs(self.signs, heard)
+        self.signs = merge_signs(self.signs, heard, self.clock())
 
     def is_backend_leaving(self, backend_server: str, incarnation: int = 0) -> bool:
         """Return whether any sign says that a backend server is leaving."""
@@ -153,7 +161,7 @@
             established=self.get_permit().established,
             revision=self.follower.state.revision,
             log_read_at=self._get_log_read_at(),
-            signs=tuple(self.signs.items()),
+            signs=select_signs(self.signs, self._seq, self.clock()),
         )
 
     def _inform_relays(self, facts: HeartbeatFacts, now: float) -> None:
--- a/wisteriagw/membership/_membership_state.py
+++ b/wisteriagw/membership/_membership_state.py
@@ -27,6 +27,8 @@
         Whether the own VM is on that list; only then has it a vote.
     members : dict of str to Member
         All VMs on the list, the own one included.
+    data_centres : tuple of str
+        Data centres of the members in order of their names.
     watching_since : float
         Silence of others is counted from here at the earliest.
     last_tick_at : float
@@ -44,6 +46,7 @@
     vm_list_digest: int
     listed: bool
     members: dict[str, Member]
+    data_centres: tuple[str, ...]
     watching_since: float
     last_tick_at: float
     digests: dict[str, HeardDigest]
--- a/wisteriagw/membership/_status.py
+++ b/wisteriagw/membership/_status.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from wisteriagw.membership._topology import is_split, list_data_centres
+from wisteriagw.membership._topology import is_split
 from wisteriagw.membership._vm_status import VmStatus
 
 if TYPE_CHECKING:
@@ -41,7 +41,7 @@
 
 
 def _get_remote_status(state: MembershipState, member: Member, now: float) -> VmStatus:
-    bit = 1 << list_data_centres(state).index(member.data_centre)
+    bit = 1 << state.data_centres.index(member.data_centre)
     best = state.watching_since
     for heard in state.summaries.values():
         if heard.summary.data_centres & bit:
--- a/wisteriagw/membership/_summaries.py
+++ b/wisteriagw/membership/_summaries.py
@@ -13,7 +13,7 @@
 from wisteriagw.membership._heard_summary import HeardSummary
 from wisteriagw.membership._remote_summary import RemoteSummary
 from wisteriagw.membership._status import get_status, is_leaving
-from wisteriagw.membership._topology import is_split, list_data_centres
+from wisteriagw.membership._topology import is_split
 from wisteriagw.membership._updates import bound_sent_at
 from wisteriagw.membership._vm_status import VmStatus
 from wisteriagw.messages import DigestPush
@@ -82,7 +82,7 @@
 
 def sum_digests(state: MembershipState, now: float) -> RemoteSummary | None:
     """Return what a relay tells its own data centre, or None if it knows nothing."""
-    names = list_data_centres(state)
+    names = state.data_centres
     mask, count, oldest = 0, 0, now
     highest = -1
     lowest: list[int] = []
--- a/wisteriagw/membership/_topology.py
+++ b/wisteriagw/membership/_topology.py
@@ -7,7 +7,7 @@
 from wisteriagw.membership._rendezvous import rank_names
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
     from wisteriagw.membership._membership_state import MembershipState
 
@@ -20,22 +20,21 @@
     return len(state.members) > MAX_FULL_MESH
 
 
-def list_data_centres(state: MembershipState) -> list[str]:
-    """Return the data centres of the VM list in order of their names."""
-    return sorted({member.data_centre for member in state.members.values()})
-
-
 def choose_relays(data_centre: str, vms: Iterable[str]) -> list[str]:
     """Return the relays among the available VMs of a data centre."""
     ranked = rank_names(f"relay {data_centre}", vms)
     return ranked[:RELAYS_PER_DATA_CENTRE]
 
 
-def choose_pair_relay(data_centre: str, other: str, vms: Iterable[str]) -> str | None:
+def choose_pair_relay(
+    data_centre: str, other: str, data_centres: Sequence[str], vms: Iterable[str]
+) -> str | None:
     """Return the VM that speaks for a data centre with one other data centre.
 
-    Each pair of data centres has one link, and the pairs spread over both relays.
+    Each pair of data centres has one link, and the relays take turns in the order of
+    the data centres. A hash would give one of two relays up to 14 of 20 links.
     """
-    pair = " ".join(sorted((data_centre, other)))
-    ranked = rank_names(f"pair {pair}", choose_relays(data_centre, vms))
-    return ranked[0] if ranked else None
+    relays = choose_relays(data_centre, vms)
+    if not relays:
+        return None
+    return relays[data_centres.index(other) % len(relays)]
--- a/wisteriagw/membership/_updates.py
+++ b/wisteriagw/membership/_updates.py
@@ -44,6 +44,7 @@
         vm_list_digest=0,
         listed=alone,
         members={vm: Member(vm, data_centre, host)},
+        data_centres=(data_centre,),
         watching_since=now,
         last_tick_at=now,
         digests={},
@@ -75,6 +76,7 @@
         members=members,
         vm_list_digest=compute_vm_list_digest(listed),
         listed=listed_self,
+        data_centres=tuple(sorted({member.data_centre for member in members.values()})),
     )
 
 
