--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -86,7 +86,7 @@
 
     def test_restarted_process_refutes_old_news(self) -> None:
         vm = self.mesh.vms["vm-0"].membership
-        old = Heartbeat("vm-1", "dc0", 1, 99, True, True, 5, 0, 0, 1.0)
+        old = Heartbeat("vm-1", "dc0", 1, 99, True, True, 5, 0, 0, 1000)
         assert apply_heartbeat(vm.state, old, vm.clock()) is vm.state
         # The wall clock was set back: the peers ignore the process until it rises.
         self.mesh.now -= 500
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -24,7 +24,7 @@
 from wisteriagw.records import CustomerCreated, encode_record
 
 ADDRESS = PeerAddress("vm-2", "127.0.0.2", 7860)
-HEARTBEAT = Heartbeat("vm-1", "dc1", 5, 1, False, True, 7, 200, 2**63, 12.5)
+HEARTBEAT = Heartbeat("vm-1", "dc1", 5, 1, False, True, 7, 200, 2**63, 12_500)
 
 
 class Transport(StringTransport):
--- a/tools/bench_membership.py
+++ b/tools/bench_membership.py
@@ -29,7 +29,7 @@
 MEASURED_SECONDS = 3
 # Two bytes of header, two more above 125 bytes, and four of mask.
 FRAME_BYTES = 8
-INCARNATION = 1_800_000_000_000
+INCARNATION = 1_800_000_000
 # Target of the design page for all control work of a node.
 MAX_SHARE, MAX_BYTES = 0.035, 7000
 
@@ -46,7 +46,8 @@
     """Delivers messages between memberships in memory and counts them by sender."""
 
     def __init__(self, vms: int, data_centres: int) -> None:
-        self.now = 1000.0
+        # After eleven days of uptime a time in milliseconds takes 5 bytes.
+        self.now = 1e6
         self.queue: list[tuple[str, str, Any]] = []
         self.messages: dict[str, int] = {}
         self.sent_bytes: dict[str, int] = {}
@@ -82,8 +83,7 @@
 
     def run_second(self) -> None:
         """Let every node tick once and handle what the others sent."""
-        # A fraction gives the times their usual size in CBOR.
-        self.now += 1.0001
+        self.now += 1.0
         for name, node in self.nodes.items():
             node.follower.last_tip_read_at = self.now
             started = time.process_time()
@@ -148,8 +148,8 @@
     sender.set_peers([PeerAddress("vm-2", "127.0.0.1", port.getHost().port)])
     yield task.deferLater(reactor, 0.5)
     heartbeat = Heartbeat(
-        "vm-001", "dc01", 2**40, 1000, False, True, 2700, 250, 2**63, 1e6 + 0.1, 2**40,
-        1e6 + 0.2, 1e6 + 0.3,
+        "vm-001", "dc01", INCARNATION, 1000, False, True, 2700, 250, 2**63, 10**9,
+        INCARNATION, 10**9, 10**9,
     )  # fmt: skip
     started = time.process_time()
     sending = task.LoopingCall(sender.send, "vm-2", heartbeat)
--- a/wisteriagw/entry/_own_state.py
+++ b/wisteriagw/entry/_own_state.py
@@ -21,7 +21,7 @@
         settings["vm"],
         settings["data-centre"],
         settings["listen"][0],
-        int(read_wall_time() * 1000),
+        int(read_wall_time()),
         now,
         alone=settings["vm-list"] is None,
     )
--- a/wisteriagw/membership/_heartbeats.py
+++ b/wisteriagw/membership/_heartbeats.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from wisteriagw.membership._member import NEVER
@@ -34,10 +35,10 @@
         config_revision=facts.revision,
         log_read_age_ms=age_ms,
         vm_list_digest=state.vm_list_digest,
-        sent_at=now,
+        sent_at_ms=math.floor(now * 1000),
         echo_incarnation=member.incarnation,
-        echo_sent_at=member.echo_sent_at,
-        echo_received_at=member.echo_received_at,
+        echo_sent_at_ms=member.echo_sent_at_ms,
+        echo_received_at_ms=member.echo_received_at_ms,
         signs=facts.signs,
         remote=() if remote is None else tuple(remote),
     )
--- a/wisteriagw/membership/_member.py
+++ b/wisteriagw/membership/_member.py
@@ -27,7 +27,7 @@
         Time before which the last heartbeat was certainly not sent.
     clock_offset, offset_at : float
         Lower bound of own clock minus the VM's clock, and when it was measured.
-    echo_sent_at, echo_received_at : float
+    echo_sent_at_ms, echo_received_at_ms : int
         What the next heartbeat to the VM echoes.
     config_revision, vm_list_digest : int
         From the last heartbeat.
@@ -48,8 +48,8 @@
     proved_at: float = NEVER
     clock_offset: float = NEVER
     offset_at: float = 0.0
-    echo_sent_at: float = 0.0
-    echo_received_at: float = 0.0
+    echo_sent_at_ms: int = 0
+    echo_received_at_ms: int = 0
     config_revision: int = -1
     vm_list_digest: int = 0
     log_read_at: float = NEVER
--- a/wisteriagw/membership/_summaries.py
+++ b/wisteriagw/membership/_summaries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from wisteriagw.membership._evidence import (
@@ -51,7 +52,7 @@
         oldest = min(oldest, member.proved_at)
     return DigestPush(
         data_centre=state.data_centre,
-        sent_at=now,
+        sent_at_ms=math.floor(now * 1000),
         vm_list_digest=state.vm_list_digest,
         count=len(revisions),
         lowest_revision=min(revisions, default=-1),
@@ -70,7 +71,7 @@
     if relay is None or relay.data_centre != digest.data_centre:
         return state
     proved_at = (
-        bound_sent_at(relay.clock_offset, relay.offset_at, digest.sent_at, now)
+        bound_sent_at(relay.clock_offset, relay.offset_at, digest.sent_at_ms, now)
         - digest.age_ms / 1000
     )
     known = state.digests.get(digest.data_centre)
--- a/wisteriagw/membership/_updates.py
+++ b/wisteriagw/membership/_updates.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from wisteriagw.membership._heard_summary import HeardSummary
@@ -107,7 +108,7 @@
     if (heartbeat.incarnation, heartbeat.seq) <= (known.incarnation, known.seq):
         return state
     offset, offset_at = _measure_offset(state, known, heartbeat)
-    proved_at = bound_sent_at(offset, offset_at, heartbeat.sent_at, now)
+    proved_at = bound_sent_at(offset, offset_at, heartbeat.sent_at_ms, now)
     log_read_at = NEVER
     if heartbeat.log_read_age_ms >= 0:
         log_read_at = proved_at - heartbeat.log_read_age_ms / 1000
@@ -121,8 +122,8 @@
         proved_at=proved_at,
         clock_offset=offset,
         offset_at=offset_at,
-        echo_sent_at=heartbeat.sent_at,
-        echo_received_at=now,
+        echo_sent_at_ms=heartbeat.sent_at_ms,
+        echo_received_at_ms=math.ceil(now * 1000),
         config_revision=heartbeat.config_revision,
         vm_list_digest=heartbeat.vm_list_digest,
         log_read_at=log_read_at,
@@ -135,13 +136,16 @@
     return state._replace(summaries={**state.summaries, member.vm: heard})
 
 
-def bound_sent_at(offset: float, offset_at: float, sent_at: float, now: float) -> float:
+def bound_sent_at(
+    offset: float, offset_at: float, sent_at_ms: int, now: float
+) -> float:
     """Return a time on the own clock before which a message was not sent.
 
     A message may wait in buffers while its receiver is paused, so its arrival says
     nothing of its age.
     """
-    return min(now, sent_at + offset - CLOCK_DRIFT * max(0.0, now - offset_at))
+    drift = CLOCK_DRIFT * max(0.0, now - offset_at)
+    return min(now, sent_at_ms / 1000 + offset - drift)
 
 
 def apply_probe_reply(
@@ -181,8 +185,9 @@
         offset, offset_at = NEVER, 0.0
     if heartbeat.echo_incarnation != state.incarnation:
         return offset, offset_at
-    measured = heartbeat.echo_sent_at - heartbeat.echo_received_at
-    elapsed = max(0.0, heartbeat.echo_sent_at - offset_at)
+    sent_at = heartbeat.echo_sent_at_ms / 1000
+    measured = sent_at - heartbeat.echo_received_at_ms / 1000
+    elapsed = max(0.0, sent_at - offset_at)
     if measured >= offset - CLOCK_DRIFT * elapsed:
-        return measured, heartbeat.echo_sent_at
+        return measured, sent_at
     return offset, offset_at
--- a/wisteriagw/messages/_digest_push.py
+++ b/wisteriagw/messages/_digest_push.py
@@ -15,8 +15,8 @@
     ----------
     data_centre : str
         The data centre that is summarised.
-    sent_at : float
-        Reading of the sender's clock.
+    sent_at_ms : int
+        Reading of the sender's clock in milliseconds, rounded down.
     vm_list_digest : int
         VM list under which the VMs were counted.
     count : int
@@ -35,7 +35,7 @@
     """
 
     data_centre: str
-    sent_at: float
+    sent_at_ms: int
     vm_list_digest: int
     count: int
     lowest_revision: int
--- a/wisteriagw/messages/_heartbeat.py
+++ b/wisteriagw/messages/_heartbeat.py
@@ -30,11 +30,12 @@
         Milliseconds since the sender's last read of the log to its tip, -1 if none.
     vm_list_digest : int
         Digest of the sender's VM list.
-    sent_at : float
-        Reading of the sender's clock.
-    echo_incarnation, echo_sent_at, echo_received_at : int, float, float
-        Incarnation and ``sent_at`` of the receiver's last heartbeat, and the reading
-        of the sender's clock when it arrived; they bound the offset of the two clocks.
+    sent_at_ms : int
+        Reading of the sender's clock in milliseconds, rounded down.
+    echo_incarnation, echo_sent_at_ms, echo_received_at_ms : int
+        Incarnation and ``sent_at_ms`` of the receiver's last heartbeat, and the reading
+        of the sender's clock when it arrived, rounded up; they bound the offset of the
+        two clocks.
     signs : tuple
         ``(backend_server, incarnation)`` of backend servers that are leaving.
     remote : tuple
@@ -51,9 +52,9 @@
     config_revision: int
     log_read_age_ms: int
     vm_list_digest: int
-    sent_at: float
+    sent_at_ms: int
     echo_incarnation: int = 0
-    echo_sent_at: float = 0.0
-    echo_received_at: float = 0.0
+    echo_sent_at_ms: int = 0
+    echo_received_at_ms: int = 0
     signs: tuple = ()
     remote: tuple = ()
