Ignore mesh messages of senders that are not on the VM list

Records of the configuration from such a sender would have been applied. A VM that the list marks as leaving says so in its heartbeats too, so the first sign wins. A test also covers that a VM without a place on its own list has no vote.

--- a/tests/test_permit.py
+++ b/tests/test_permit.py
@@ -19,6 +19,7 @@
     PermitView,
     decide_permit,
 )
+from wisteriagw.messages import ConfigRecords
 from wisteriagw.records import KeyWithdrawn, encode_record
 
 NOW = 100.0
@@ -276,3 +277,19 @@
         mesh.log_down = True
         mesh.run(4)
         assert mesh.list_serving() == set()
+
+    def test_vm_that_is_on_no_list_has_no_vote(self) -> None:
+        mesh = SimulatedMesh(1)
+        mesh.run(4)
+        mesh.log_down = True
+        mesh.run(10)
+        assert mesh.list_serving() == {"vm-0"}
+        mesh.vms["vm-0"].membership.set_vm_list(())
+        assert mesh.list_serving() == set()
+
+    def test_records_of_a_stranger_are_ignored(self) -> None:
+        mesh = SimulatedMesh(1)
+        data = encode_record(KeyWithdrawn(b"k", "ann", "n"))
+        membership = mesh.vms["vm-0"].membership
+        membership.handle("vm-9", ConfigRecords(0, ((0, data),)))
+        assert membership.follower.state.revision == -1
--- a/wisteriagw/membership/_membership.py
+++ b/wisteriagw/membership/_membership.py
@@ -97,7 +97,9 @@
             self.send(probe.peer, ProbeRequest(probe.target))
 
     def handle(self, sender: str, message: Any) -> None:
-        """Apply a message of a peer."""
+        """Apply a message of a peer; a sender that is not on the VM list is ignored."""
+        if sender not in self.state.members:
+            return
         handle_message(message, self, sender)
 
     def set_vm_list(self, entries: Iterable[VmEntry]) -> None:
@@ -157,7 +159,7 @@
         self._seq += 1
         return HeartbeatFacts(
             seq=self._seq,
-            leaving=self.leaving,
+            leaving=self.leaving or self.state.members[self.state.vm].listed_leaving,
             established=self.get_permit().established,
             revision=self.follower.state.revision,
             log_read_at=self._get_log_read_at(),
