Let the test of an own pause run the timer before the sockets

The test passed with its guard removed, because the simulation read the waiting heartbeats first. It fails now without the guard and passes with it.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -80,8 +80,8 @@
     def test_own_pause_is_not_taken_for_the_silence_of_others(self) -> None:
         self.mesh.paused.add("vm-0")
         self.mesh.run(30)
-        self.mesh.paused.clear()
-        self.mesh.run(1)
+        # The timer fires before the waiting heartbeats are read from the sockets.
+        self.mesh.vms["vm-0"].membership.tick()
         assert set(get_statuses(self.mesh, "vm-0").values()) == {"alive"}
 
     def test_restarted_process_refutes_old_news(self) -> None:
