--- a/wisteriagw/mesh/_frame_protocol.py
+++ b/wisteriagw/mesh/_frame_protocol.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from functools import singledispatch
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.interfaces import IPushProducer
@@ -21,6 +22,7 @@
 logger = logging.getLogger(__name__)
 
 MAX_FRAME_BYTES = 1024 * 1024
+CONTROL_OPCODES = (Opcode.CLOSE, Opcode.PING, Opcode.PONG)
 
 
 @implementer(IPushProducer)
@@ -74,7 +76,7 @@
         """Pass the data through the protocol object and handle its events."""
         self._websocket.receive_data(data)
         for event in self._websocket.events_received():
-            self._handle_event(event)
+            handle_event(event, self)
         self._flush()
         if self._websocket.close_expected():
             self.transport.loseConnection()
@@ -112,23 +114,13 @@
         """Refuse frames: the connection is lost."""
         self._full = True
 
-    def _handle_event(self, event: Any) -> None:
-        if isinstance(event, Request):
-            response = self._websocket.accept(event)
-            self._websocket.send_response(response)
-            self._finish_handshake(event.path)
-            return
-        if isinstance(event, Response):
-            self._finish_handshake("")
-            return
-        if not isinstance(event, Frame) or event.opcode in CONTROL_OPCODES:
-            return
-        if event.opcode is Opcode.BINARY and event.fin:
-            self._on_frame(bytes(event.data))
-            return
-        self._on_garbage()
+    def accept_peer(self, request: Request) -> None:
+        """Answer the handshake of a client."""
+        self._websocket.send_response(self._websocket.accept(request))
+        self.finish_handshake(request.path)
 
-    def _finish_handshake(self, path: str) -> None:
+    def finish_handshake(self, path: str) -> None:
+        """Take frames from now on, if the handshake succeeded."""
         if self._websocket.state is not State.OPEN:
             logger.warning("mesh handshake failed: %s", self._websocket.handshake_exc)
             self.transport.loseConnection()
@@ -136,6 +128,15 @@
         self._open = True
         self._on_open(path)
 
+    def receive_frame(self, frame: Frame) -> None:
+        """Pass on a whole binary message; other data frames are garbage."""
+        if frame.opcode in CONTROL_OPCODES:
+            return
+        if frame.opcode is Opcode.BINARY and frame.fin:
+            self._on_frame(bytes(frame.data))
+            return
+        self._on_garbage()
+
     def _flush(self) -> None:
         for data in self._websocket.data_to_send():
             if data:
@@ -144,4 +145,21 @@
             self.transport.loseConnection()
 
 
-CONTROL_OPCODES = (Opcode.CLOSE, Opcode.PING, Opcode.PONG)
+@singledispatch
+def handle_event(event: Any, connection: FrameProtocol) -> None:
+    """Apply an event of the protocol object to its connection."""
+
+
+@handle_event.register(Request)
+def _(event: Request, connection: FrameProtocol) -> None:
+    connection.accept_peer(event)
+
+
+@handle_event.register(Response)
+def _(event: Response, connection: FrameProtocol) -> None:
+    connection.finish_handshake("")
+
+
+@handle_event.register(Frame)
+def _(event: Frame, connection: FrameProtocol) -> None:
+    connection.receive_frame(event)
