Resume streams from engines that fall silent; answer after internal faults

An engine that is cut off sends no reset, so its stream waited until the caller left. Streams without events for 12 to 24 s are resumed. Faults inside a service call or a batch of claims are logged and answered, where the caller had to wait for its own timeout before.

--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -17,6 +17,7 @@
 
 from tests.support import LoopbackFleet, ScriptedEngine
 from wisteriagw.backends import StreamPosition
+from wisteriagw.entry import _generation_relay
 from wisteriagw.entry._event_reader import MAX_EVENT_BYTES, EventReader
 
 TOKENS = 20
@@ -154,6 +155,16 @@
             self.assertEqual(engine.opened[0], (b"POST", 0), name)
             self.assertEqual(engine.opened[1][0], b"GET", name)
 
+    @inlineCallbacks
+    def test_engine_that_falls_silent_is_resumed(self) -> Any:
+        self.patch(_generation_relay, "STALL_SECONDS", 0.1)
+        engine = ScriptedEngine(FIRST_CONNECTIONS["cut"], send_rest)
+        engine.hold_first = True
+        self.fleet.serve("a", engine)
+        (address,) = self.fleet.start_entries(1)
+        yield self.check_whole(address)
+        self.assertEqual(engine.opened, [(b"POST", 0), (b"GET", 7)])
+
     @inlineCallbacks
     def test_engine_that_never_gets_on_ends_without_looking_whole(self) -> Any:
         self.fleet.serve("a", ScriptedEngine(lambda a, i: b"", lambda a, i: b"x\n\n"))
--- a/wisteriagw/calls/_partition_batcher.py
+++ b/wisteriagw/calls/_partition_batcher.py
@@ -85,6 +85,9 @@
         try:
             written = yield self._write(claims, results)
         finally:
+            for _, verdict in claims:
+                if not verdict.called:
+                    verdict.callback(ClaimUnavailable("the batch failed"))
             # A result that was perhaps not written is written again; the fold takes
             # the first. A claim is never written again.
             if not written:
--- a/wisteriagw/entry/_generation_relay.py
+++ b/wisteriagw/entry/_generation_relay.py
@@ -40,6 +40,9 @@
 
 ATTEMPT_ID_BYTES = 4
 MAX_RESUMES = 3
+# An engine that is cut off sends no reset. A stream without events for one to two of
+# these periods is resumed; a role change takes an engine away for at most 10 s.
+STALL_SECONDS = 12.0
 RESUME_DELAY_SECONDS = 0.1
 KEEP_FOR_RESUME_SECONDS = 30.0
 MAX_ERROR_BYTES = 64 * 1024
@@ -95,10 +98,13 @@
         self._resumes_left = MAX_RESUMES
         self._over = False
         self._paused = False
+        self._progressed = False
         request.notifyFinish().addErrback(lambda _: self._abandon())
         request.registerProducer(self, True)
         wait = max(0.0, plan.deadline - context.clock())
-        self._timer = context.client.reactor.callLater(wait, self._pass_deadline)
+        reactor = context.client.reactor
+        self._timer = reactor.callLater(wait, self._pass_deadline)
+        self._stall_timer = reactor.callLater(STALL_SECONDS, self._check_stall)
 
     def start(self) -> None:
         """Generate at the backend server that the routing decision gives."""
@@ -157,6 +163,7 @@
         if self._timer is not None and self._sink.can_resume:
             self._stop_timer()
         self._resumes_left = MAX_RESUMES
+        self._progressed = True
         if len(self._kept) <= MAX_KEPT_EVENTS:
             self._kept.extend(events)
         self._sink.write_tokens(events)
@@ -315,6 +322,15 @@
         self._send_cancel()
         self._refuse(MayHaveRun("the answer did not come before the deadline"))
 
+    def _check_stall(self) -> None:
+        reactor = self._context.client.reactor
+        self._stall_timer = reactor.callLater(STALL_SECONDS, self._check_stall)
+        stalled = self._kept and not self._progressed and not self._paused
+        self._progressed = False
+        if stalled and self._reader is not None:
+            self._reader.stop()
+            self.lose("no event came for too long")
+
     def _abandon(self) -> None:
         """Cancel after the caller has left, for a stream only after the resume time."""
         if self._over:
@@ -325,6 +341,7 @@
 
     def _close(self) -> None:
         self._over = True
+        self._stall_timer.cancel()
         self._context.running[self._backend_server] -= 1
         if self._timer is not None:
             self._stop_timer()
--- a/wisteriagw/entry/_service_resource.py
+++ b/wisteriagw/entry/_service_resource.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import logging
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import inlineCallbacks
@@ -20,6 +21,7 @@
 from wisteriagw.entry._service_call import ServiceCall
 from wisteriagw.entry._service_path import parse_service_path
 from wisteriagw.http import write_error
+from wisteriagw.outcomes import MayHaveRun
 
 if TYPE_CHECKING:
     from collections.abc import Generator
@@ -31,6 +33,8 @@
     from wisteriagw.entry._entry_context import EntryContext
     from wisteriagw.entry._service_path import ServicePath
 
+logger = logging.getLogger(__name__)
+
 MAX_IDEMPOTENCY_KEY = 256
 
 
@@ -71,9 +75,16 @@
             message = "the body is too large"
             write_error(request, 413, "body_too_large", message, not_run=True)
             return NOT_DONE_YET
-        self._call(request, route, customer or "", place, deadline)
+        calling = self._call(request, route, customer or "", place, deadline)
+        calling.addErrback(self._fail, request)
         return NOT_DONE_YET
 
+    def _fail(self, failure: Any, request: Request) -> None:
+        # Without an answer the caller would wait until its own timeout.
+        logger.error("a service call failed: %s", failure.getTraceback())
+        if not request.disconnected and not request.startedWriting:
+            write_result(MayHaveRun("internal error"), request)
+
     @inlineCallbacks
     def _call(
         self,
