--- a/tests/support/_operator_calls.py
+++ b/tests/support/_operator_calls.py
@@ -7,6 +7,7 @@
 from io import BytesIO
 from typing import Any
 
+from twisted.internet.task import Clock
 from twisted.web.resource import getChildForRequest
 from twisted.web.test.requesthelper import DummyRequest
 
@@ -14,6 +15,7 @@
 from tests.support._virtual_clock import VirtualClock
 from wisteriagw.entry._entry_context import EntryContext
 from wisteriagw.entry._operators_resource import OperatorsResource
+from wisteriagw.http import HttpClient
 
 
 class OperatorCalls:
@@ -27,8 +29,9 @@
                 "data-centre": "dc1",
                 "listen": ("127.0.0.1", 1),
                 "vm-list": None,
+                "drain-seconds": 1.0,
             },
-            None,
+            HttpClient(Clock()),
             self.log,
             self.clock,
             Counter(),
--- a/wisteriagw/entry/_addresses_resource.py
+++ b/wisteriagw/entry/_addresses_resource.py
@@ -41,7 +41,10 @@
         settings = self._context.settings
         host, port = settings["listen"]
         if settings["vm-list"] is None:
-            return list(settings["entry-addresses"] or ((host, port),))
+            addresses = settings["entry-addresses"] or ((host, port),)
+            if not self._context.shutdown.leaving:
+                return list(addresses)
+            return [address for address in addresses if address != (host, port)]
         # All VMs run the same programs with the same ports.
         chosen = choose_entry_vms(
             request.getClientAddress().host,
--- a/wisteriagw/entry/_entry_context.py
+++ b/wisteriagw/entry/_entry_context.py
@@ -23,6 +23,7 @@
 from wisteriagw.entry._open_streams import OpenStreams
 from wisteriagw.entry._own_state import build_own_state
 from wisteriagw.entry._retry_ledger import RetryLedger
+from wisteriagw.entry._shutdown import Shutdown
 from wisteriagw.follower import RecordHistory, StreamFollower
 from wisteriagw.membership import (
     PERMIT_SECONDS,
@@ -78,6 +79,7 @@
         self.audit = AuditWriter(log)
         self._accepted_revision = -1
         self._accepted_at = 0.0
+        self.shutdown = Shutdown(client.reactor, settings["drain-seconds"])
         self.config_follower = StreamFollower(
             log,
             CONFIG_STREAM,
--- a/wisteriagw/entry/_version_resource.py
+++ b/wisteriagw/entry/_version_resource.py
@@ -4,9 +4,8 @@
 
 from typing import TYPE_CHECKING, Any
 
-from twisted.web.resource import Resource
-
 from wisteriagw.entry._refusing_resource import RefusingResource
+from wisteriagw.http import PathResource
 
 if TYPE_CHECKING:
     from twisted.web.server import Request
@@ -14,7 +13,7 @@
     from wisteriagw.entry._entry_context import EntryContext
 
 
-class VersionResource(Resource):
+class VersionResource(PathResource):
     """Serves ``/v1`` unless records of the configuration are missing."""
 
     def __init__(self, context: EntryContext) -> None:
