Add the policy decisions and the measuring tool

Routing by estimated time to the first token, fair queueing by work, role changes with hysteresis and ordering of servers are pure modules; wisteriagw-measure drives them against fakes in virtual time.

--- /dev/null
+++ b/wisteriagw/dispatch/_dispatcher.py
@@ -0,0 +1,232 @@
+"""Dispatcher of an entry VM."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from typing import TYPE_CHECKING
+
+from wisteriagw.dispatch._dispatched import Dispatched
+from wisteriagw.dispatch._limits import Limits
+from wisteriagw.dispatch._running import Running
+from wisteriagw.fairness import (
+    FairQueue,
+    QueuedRequest,
+    Refusal,
+    WorkCost,
+    compute_work,
+)
+from wisteriagw.routing import (
+    PREFIX_BLOCK_TOKENS,
+    TOO_LATE,
+    PrefixIndex,
+    choose_backend_server,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from wisteriagw.routing import LoadTable, RouteRequest, RoutingDecision
+
+EXPLAINED_DECISIONS = 256
+OUTPUT_SMOOTHING = 0.05
+EXPECTED_OUTPUT_TOKENS = 100.0
+# Work of a plain service call in the unit of engine seconds; only ratios matter.
+SERVICE_CALL_WORK = 0.05
+
+
+class Dispatcher:
+    """Queues requests fairly and places them on backend servers.
+
+    It does no input or output: the caller sends what ``pump`` returns and reports what
+    came of it. ``pump`` is called after each change and at short intervals.
+    """
+
+    def __init__(
+        self,
+        table: LoadTable,
+        weights: Mapping[str, float],
+        draw: Callable[[int], int],
+        limits: Limits | None = None,
+    ) -> None:
+        self.table = table
+        self.index = PrefixIndex()
+        self.weights = dict(weights)
+        self.limits = limits or Limits()
+        self.cost = WorkCost()
+        self.decision_count = 0
+        self.decisions: deque[tuple[float, RouteRequest, RoutingDecision]] = deque(
+            maxlen=EXPLAINED_DECISIONS
+        )
+        # Work charged since the last call of ``take_served_work``, for other entry VMs.
+        self._served: dict[str, float] = {}
+        self._draw = draw
+        self._queues: dict[tuple[str, bool], FairQueue] = {}
+        self._running: dict[str, Running] = {}
+        self._outputs: dict[tuple[str, int], float] = {}
+        self._demand = (0.0, 0.0)
+
+    def submit(
+        self, handle: str, request: RouteRequest, deadline: float, now: float
+    ) -> Refusal | None:
+        """Queue a request, or return why it is refused."""
+        key = (request.serves, request.repeatable)
+        queue = self._queues.get(key)
+        if queue is None:
+            queue = self._queues[key] = FairQueue(self.weights)
+        work = self._estimate_work(request, request.prompt_tokens)
+        self._note_demand(request)
+        if not self.limits.fair:
+            request = request._replace(customer="")
+        if queue.add(QueuedRequest(handle, request, now, deadline, work)):
+            return None
+        message = "too many requests of this customer are waiting"
+        return Refusal(handle, "overloaded", message)
+
+    def pump(self, now: float) -> list[Dispatched | Refusal]:
+        """Return what is to be sent or refused now."""
+        results: list[Dispatched | Refusal] = []
+        for queue in self._queues.values():
+            while self._place_one(queue, now, results):
+                continue
+        return results
+
+    def note_first_token(self, handle: str, now: float) -> None:
+        """Take the prompt of a request out of the account of its server's queue."""
+        running = self._running.get(handle)
+        if running is None or not running.waiting_tokens:
+            return
+        load = self.table.loads[running.backend_server]
+        load.change(-running.waiting_tokens, 0, now)
+        self._running[handle] = running._replace(waiting_tokens=0.0)
+
+    def note_end(self, handle: str, generated_tokens: int, now: float) -> None:
+        """Take a request out of the account; correct the charge by the work done."""
+        running = self._running.pop(handle, None)
+        if running is None:
+            return
+        load = self.table.loads[running.backend_server]
+        load.change(-running.waiting_tokens, -1, now)
+        if not running.prefill_tokens:
+            return
+        work = compute_work(self.cost, running.prefill_tokens, generated_tokens)
+        self._charge(running.queue_key, running.customer, work - running.work)
+        mean = self._outputs.get(running.output_key, EXPECTED_OUTPUT_TOKENS)
+        mean += OUTPUT_SMOOTHING * (generated_tokens - mean)
+        self._outputs[running.output_key] = mean
+
+    def apply_served_work(self, served: Mapping[str, float]) -> None:
+        """Take in work that another entry VM served, by customer."""
+        for queue in self._queues.values():
+            for customer, work in served.items():
+                queue.charge(customer, work)
+
+    def take_served_work(self) -> dict[str, float]:
+        """Return the work served here since the last call, for other entry VMs."""
+        served, self._served = self._served, {}
+        return served
+
+    def take_demand(self) -> tuple[float, float]:
+        """Return the prefill and decode tokens asked for since the last call."""
+        demand, self._demand = self._demand, (0.0, 0.0)
+        return demand
+
+    def count_waiting(self) -> int:
+        """Return the number of queued requests."""
+        return sum(len(queue) for queue in self._queues.values())
+
+    def _note_demand(self, request: RouteRequest) -> None:
+        if not request.prompt_tokens:
+            return
+        cached = max(self.index.find(request.blocks).values(), default=0)
+        tokens = max(0, request.prompt_tokens - cached * PREFIX_BLOCK_TOKENS)
+        prefill, decode = self._demand
+        self._demand = (prefill + tokens, decode + self._expect_output(request))
+
+    def _place_one(
+        self, queue: FairQueue, now: float, results: list[Dispatched | Refusal]
+    ) -> bool:
+        """Place or refuse one request; False if all that are queued have to wait."""
+        for queued in queue.list_heads():
+            decision, cached = self._decide(queued, now)
+            customer = queued.request.customer
+            if decision.chosen is not None:
+                queue.take_head(customer)
+                blocks = cached.get(decision.chosen, 0)
+                self._account(queued, decision.chosen, blocks, now)
+                results.append(Dispatched(queued.handle, decision))
+                return True
+            if not decision.waits_for:
+                queue.remove_head(customer)
+                results.append(explain_refusal(queued, decision))
+                return True
+            if not any(option.reason == TOO_LATE for option in decision.alternatives):
+                # No server takes anything, so the other customers wait as well.
+                return False
+        return False
+
+    def _decide(
+        self, queued: QueuedRequest, now: float
+    ) -> tuple[RoutingDecision, Mapping[str, int]]:
+        request = queued.request
+        cached = self.index.find(request.blocks)
+        views = self.table.list_candidates(request, cached, self._draw, now)
+        left = queued.deadline - now if self.limits.refuse_late else math.inf
+        decision = choose_backend_server(
+            request, views, now, cached, self.limits.longest_engine_wait, left
+        )
+        self.decision_count += 1
+        self.decisions.append((now, request, decision))
+        return decision, cached
+
+    def _account(
+        self, queued: QueuedRequest, server: str, cached_blocks: int, now: float
+    ) -> None:
+        request = queued.request
+        key = (request.serves, request.repeatable)
+        tokens = max(0, request.prompt_tokens - cached_blocks * PREFIX_BLOCK_TOKENS)
+        work = self._estimate_work(request, tokens)
+        self._charge(key, request.customer, work - queued.work)
+        self._served[request.customer] = (
+            self._served.get(request.customer, 0.0) + queued.work
+        )
+        self.table.loads[server].change(tokens, 1, now)
+        self.index.add(server, request.blocks)
+        self._running[queued.handle] = Running(
+            server,
+            request.customer,
+            key,
+            tokens,
+            tokens,
+            work,
+            build_output_key(request),
+        )
+
+    def _charge(self, key: tuple[str, bool], customer: str, work: float) -> None:
+        self._queues[key].charge(customer, work)
+        self._served[customer] = self._served.get(customer, 0.0) + work
+
+    def _estimate_work(self, request: RouteRequest, prefill_tokens: float) -> float:
+        if not request.prompt_tokens:
+            return SERVICE_CALL_WORK
+        return compute_work(self.cost, prefill_tokens, self._expect_output(request))
+
+    def _expect_output(self, request: RouteRequest) -> float:
+        return self._outputs.get(build_output_key(request), EXPECTED_OUTPUT_TOKENS)
+
+
+def build_output_key(request: RouteRequest) -> tuple[str, int]:
+    """Return what output lengths are learnt by: customer and magnitude of the prompt.
+
+    Long prompts of a customer (reports) have other outputs than its short questions.
+    """
+    return request.customer, request.prompt_tokens.bit_length()
+
+
+def explain_refusal(queued: QueuedRequest, decision: RoutingDecision) -> Refusal:
+    """Return the refusal of a request for which waiting is of no use."""
+    if any(option.reason == TOO_LATE for option in decision.alternatives):
+        message = "the first token would be late; the request was not run"
+        return Refusal(queued.handle, "deadline", message)
+    message = f"no backend server for {queued.request.serves!r} can take the request"
+    return Refusal(queued.handle, "no_backend_server", message)
--- /dev/null
+++ b/wisteriagw/measure/__init__.py
@@ -0,0 +1,7 @@
+"""Measuring tool over fakes in virtual time."""
+
+from __future__ import annotations
+
+from wisteriagw.measure._main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/wisteriagw/measure/_baseline_dispatcher.py
@@ -0,0 +1,92 @@
+"""Dispatcher of the baselines."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from wisteriagw.dispatch import Dispatched
+from wisteriagw.fairness import Refusal
+from wisteriagw.routing import RoutingDecision
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from wisteriagw.routing import CacheEvent, LoadTable, RouteRequest
+
+
+class BaselineDispatcher:
+    """Sends each request at once, in turn or to the fewest outstanding requests."""
+
+    def __init__(self, table: LoadTable, rule: str) -> None:
+        self.table = table
+        self.rule = rule
+        self.decision_count = 0
+        self.index = self
+        self._turn = 0
+        self._outstanding: Counter[str] = Counter()
+        self._servers: dict[str, str] = {}
+        self._queued: list[tuple[str, RouteRequest]] = []
+
+    def submit(
+        self, handle: str, request: RouteRequest, deadline: float, now: float
+    ) -> Refusal | None:
+        """Take a request; there is no early refusal."""
+        self._queued.append((handle, request))
+        return None
+
+    def pump(self, now: float) -> list[Dispatched | Refusal]:
+        """Return all requests with their backend servers."""
+        results: list[Dispatched | Refusal] = []
+        queued, self._queued = self._queued, []
+        for handle, request in queued:
+            self.decision_count += 1
+            names = [
+                view.name
+                for view in self.table.views.values()
+                if view.serves == request.serves
+                and not view.leaving
+                and view.name not in request.excluded
+                and (request.repeatable or not view.reclaimable)
+            ]
+            if not names:
+                results.append(Refusal(handle, "no_backend_server", "none"))
+                continue
+            self._turn += 1
+            name = names[self._turn % len(names)]
+            if self.rule == "least-requests":
+                name = min(names, key=lambda name: self._outstanding[name])
+            self._outstanding[name] += 1
+            self._servers[handle] = name
+            results.append(Dispatched(handle, RoutingDecision(name, ())))
+        return results
+
+    def note_first_token(self, handle: str, now: float) -> None:
+        """Do nothing."""
+
+    def note_end(self, handle: str, generated_tokens: int, now: float) -> None:
+        """Count a request as ended."""
+        name = self._servers.pop(handle, None)
+        if name is not None:
+            self._outstanding[name] -= 1
+
+    def apply(self, event: CacheEvent) -> None:
+        """Do nothing."""
+
+    def forget(self, backend_server: str) -> None:
+        """Do nothing."""
+
+    def apply_served_work(self, served: Mapping[str, float]) -> None:
+        """Do nothing."""
+
+    def take_served_work(self) -> dict[str, float]:
+        """Return nothing."""
+        return {}
+
+    def take_demand(self) -> tuple[float, float]:
+        """Return nothing."""
+        return 0.0, 0.0
+
+    def count_waiting(self) -> int:
+        """Return the number of queued requests."""
+        return len(self._queued)
--- /dev/null
+++ b/wisteriagw/measure/faults/__init__.py
@@ -0,0 +1,10 @@
+"""Faults that scenarios inject."""
+
+from __future__ import annotations
+
+from wisteriagw.measure.faults._cheap_loss import CheapLoss
+from wisteriagw.measure.faults._drain_fault import DrainFault
+from wisteriagw.measure.faults._log_fault import LogFault
+from wisteriagw.measure.faults._report_fault import ReportFault
+
+__all__ = ["CheapLoss", "DrainFault", "LogFault", "ReportFault"]
--- /dev/null
+++ b/wisteriagw/measure/faults/_drain_fault.py
@@ -0,0 +1,12 @@
+"""Fault: an operator drains a backend server."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class DrainFault(NamedTuple):
+    """A backend server is drained and taken away, and comes back after a time."""
+
+    index: int
+    seconds: float = 40.0
--- /dev/null
+++ b/wisteriagw/roles/__init__.py
@@ -0,0 +1,22 @@
+"""Moves of engines between prefill and decode."""
+
+from __future__ import annotations
+
+from wisteriagw.roles._demand import Demand, smooth_demand
+from wisteriagw.roles._engine_role import EngineRole
+from wisteriagw.roles._planning import plan_roles
+from wisteriagw.roles._role_alternative import RoleAlternative
+from wisteriagw.roles._role_change import RoleChange
+from wisteriagw.roles._roles_decision import RolesDecision
+from wisteriagw.roles._roles_view import RolesView
+
+__all__ = [
+    "Demand",
+    "EngineRole",
+    "RoleAlternative",
+    "RoleChange",
+    "RolesDecision",
+    "RolesView",
+    "plan_roles",
+    "smooth_demand",
+]
--- /dev/null
+++ b/wisteriagw/roles/_demand.py
@@ -0,0 +1,44 @@
+"""Demand for prefill and decode."""
+
+from __future__ import annotations
+
+import math
+from typing import NamedTuple
+
+# Fast enough for a mix that swings within minutes, slow enough for single long prompts.
+SMOOTHING_SECONDS = 12.0
+
+
+class Demand(NamedTuple):
+    """Smoothed demand of all callers.
+
+    Attributes
+    ----------
+    prefill_tokens_per_second : float
+        Uncached prompt tokens asked for.
+    decode_tokens_per_second : float
+        Tokens to be generated.
+    at : float
+        Time of the last sample; minus infinity before the first.
+    """
+
+    prefill_tokens_per_second: float = 0.0
+    decode_tokens_per_second: float = 0.0
+    at: float = -math.inf
+
+
+def smooth_demand(
+    demand: Demand, prefill_rate: float, decode_rate: float, now: float
+) -> Demand:
+    """Return the demand after a sample of both rates; late samples change nothing."""
+    if demand.at == -math.inf:
+        return Demand(prefill_rate, decode_rate, now)
+    if now <= demand.at:
+        return demand
+    part = 1.0 - math.exp((demand.at - now) / SMOOTHING_SECONDS)
+    prefill, decode = demand.prefill_tokens_per_second, demand.decode_tokens_per_second
+    return Demand(
+        prefill + part * (prefill_rate - prefill),
+        decode + part * (decode_rate - decode),
+        now,
+    )
--- /dev/null
+++ b/wisteriagw/roles/_planning.py
@@ -0,0 +1,108 @@
+"""Decision whether an engine changes its role."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wisteriagw.roles._role_alternative import RoleAlternative
+from wisteriagw.roles._role_change import RoleChange
+from wisteriagw.roles._roles_decision import RolesDecision
+
+if TYPE_CHECKING:
+    from wisteriagw.roles._engine_role import EngineRole
+    from wisteriagw.roles._roles_view import RolesView
+
+# A swing of the mix lasts minutes; a change must pay within part of that.
+HORIZON_SECONDS = 60.0
+# A change takes 3 to 10 s after the engine has drained; the worst case is assumed.
+AWAY_SECONDS = 12.0
+MIN_SECONDS_BETWEEN_CHANGES = 15.0
+MIN_SECONDS_BEFORE_CHANGE_BACK = 45.0
+# Load above which queues grow faster than the load.
+COMFORTABLE_LOAD = 0.7
+# Gain, in the unit of ``estimate_strain`` times seconds, that noise does not reach.
+MIN_NET_GAIN = 0.3
+SECONDS_BETWEEN_TOKENS = 0.03
+DEMAND_VALID_SECONDS = 20.0
+
+
+def plan_roles(view: RolesView, now: float) -> RolesDecision:
+    """Return the role change that pays most, if one does."""
+    reason = find_obstacle(view, now)
+    if reason:
+        return RolesDecision((), reason)
+    ready = [engine for engine in view.engines if engine.available]
+    count = len(ready)
+    prefill = sum(1 for engine in ready if engine.role == "prefill")
+    strain = estimate_strain(view, prefill, count)
+    best: RoleAlternative | None = None
+    alternatives = []
+    for target, away in ((prefill + 1, prefill), (prefill - 1, prefill - 1)):
+        if target < 1 or target > count - 1:
+            continue
+        gain = HORIZON_SECONDS * (strain - estimate_strain(view, target, count))
+        loss = estimate_strain(view, away, count - 1) - strain
+        cost = max(0.0, loss) * AWAY_SECONDS + MIN_NET_GAIN
+        option = RoleAlternative(target, gain, cost, "")
+        reason = find_fault(view, option, prefill, now)
+        alternatives.append(option._replace(reason=reason))
+        if reason:
+            continue
+        if best is None or gain - cost > best.gain - best.cost:
+            best = option
+    if best is None:
+        return RolesDecision((), "no change pays", tuple(alternatives))
+    role = "prefill" if best.prefill_engines > prefill else "decode"
+    engine = pick_engine(ready, role)
+    change = RoleChange(engine.name, role)
+    reason = f"strain {strain:.3f}, gain {best.gain:.2f} over cost {best.cost:.2f}"
+    return RolesDecision((change,), reason, tuple(alternatives))
+
+
+def find_obstacle(view: RolesView, now: float) -> str:
+    """Return why no change may be ordered at all, or an empty text."""
+    if any(engine.changing for engine in view.engines):
+        return "a change is in progress"
+    if now - view.last_change_at < MIN_SECONDS_BETWEEN_CHANGES:
+        return "the last change was a moment ago"
+    if now - view.demand.at > DEMAND_VALID_SECONDS:
+        return "the demand is not known"
+    if sum(1 for engine in view.engines if engine.available) < 2:
+        return "fewer than two engines are available"
+    return ""
+
+
+def find_fault(
+    view: RolesView, option: RoleAlternative, prefill: int, now: float
+) -> str:
+    """Return why an alternative loses, or an empty text."""
+    if option.gain <= option.cost:
+        return "the gain is below the cost of the time away"
+    role = "prefill" if option.prefill_engines > prefill else "decode"
+    back = view.last_role and role != view.last_role
+    if back and now - view.last_change_at < MIN_SECONDS_BEFORE_CHANGE_BACK:
+        return "it undoes the last change too soon"
+    return ""
+
+
+def estimate_strain(view: RolesView, prefill_engines: int, engines: int) -> float:
+    """Return how far both loads are above the comfortable load, squared and added."""
+    prefill, decode = view.profiles["prefill"], view.profiles["decode"]
+    others = engines - prefill_engines
+    rate = (
+        prefill_engines * prefill.prefill_tokens_per_second
+        + others * decode.prefill_tokens_per_second
+    )
+    slots = prefill_engines * prefill.max_streams + others * decode.max_streams
+    streams = view.demand.decode_tokens_per_second * SECONDS_BETWEEN_TOKENS
+    prefill_load = view.demand.prefill_tokens_per_second / max(rate, 1.0)
+    decode_load = streams / max(slots, 1)
+    prefill_over = max(0.0, prefill_load - COMFORTABLE_LOAD)
+    decode_over = max(0.0, decode_load - COMFORTABLE_LOAD)
+    return prefill_over * prefill_over + decode_over * decode_over
+
+
+def pick_engine(engines: list[EngineRole], role: str) -> EngineRole:
+    """Return the engine that has the least to finish before it can take a role."""
+    others = [engine for engine in engines if engine.role != role]
+    return min(others, key=lambda engine: (engine.running_streams, engine.name))
--- /dev/null
+++ b/wisteriagw/roles/_roles_view.py
@@ -0,0 +1,37 @@
+"""State that a role decision needs."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from wisteriagw.roles._demand import Demand
+    from wisteriagw.roles._engine_role import EngineRole
+    from wisteriagw.routing import RoleProfile
+
+
+class RolesView(NamedTuple):
+    """The engines of one model.
+
+    Attributes
+    ----------
+    engines : tuple of EngineRole
+        All engines of the model.
+    demand : Demand
+        Smoothed demand.
+    profiles : mapping of str to RoleProfile
+        What an engine can do in each role.
+    last_change_at : float
+        Time at which the last change was ordered.
+    last_role : str
+        Role that the last change led to; a change back has to wait longer.
+    """
+
+    engines: tuple[EngineRole, ...]
+    demand: Demand
+    profiles: Mapping[str, RoleProfile]
+    last_change_at: float = -math.inf
+    last_role: str = ""
--- a/wisteriagw/routing/__init__.py
+++ b/wisteriagw/routing/__init__.py
@@ -4,16 +4,36 @@
 
 from wisteriagw.routing._alternative import Alternative
 from wisteriagw.routing._backend_view import BackendView
-from wisteriagw.routing._choice import choose_backend_server
+from wisteriagw.routing._cache_event import CacheEvent
+from wisteriagw.routing._choice import (
+    PREFIX_BLOCK_TOKENS,
+    TOO_LATE,
+    choose_backend_server,
+)
+from wisteriagw.routing._load_report import LoadReport
+from wisteriagw.routing._load_table import LoadTable
+from wisteriagw.routing._peer_load import PeerLoad
+from wisteriagw.routing._prefix_index import PrefixIndex
+from wisteriagw.routing._role_profile import RoleProfile
 from wisteriagw.routing._route_request import RouteRequest
 from wisteriagw.routing._routing_decision import RoutingDecision
+from wisteriagw.routing._server_load import ServerLoad
 from wisteriagw.routing._tokens import estimate_tokens
 
 __all__ = [
+    "PREFIX_BLOCK_TOKENS",
+    "TOO_LATE",
     "Alternative",
     "BackendView",
+    "CacheEvent",
+    "LoadReport",
+    "LoadTable",
+    "PeerLoad",
+    "PrefixIndex",
+    "RoleProfile",
     "RouteRequest",
     "RoutingDecision",
+    "ServerLoad",
     "choose_backend_server",
     "estimate_tokens",
 ]
--- a/wisteriagw/routing/_backend_view.py
+++ b/wisteriagw/routing/_backend_view.py
@@ -16,10 +16,18 @@
         Whether the platform may take it back at short notice.
     leaving : bool
         Whether it shall get no new work.
-    queued_prefill_tokens : int
+    queued_prefill_tokens : float
         Prefill work that was reported or sent and is not known to be done.
-    running_streams : int
-        Streams that are being generated there.
+    running_streams : float
+        Streams that are being generated there, or calls that a service works on.
+    prefill_tokens_per_second : float
+        Rate at which it processes uncached prompt tokens.
+    max_streams : int
+        Batch up to which it keeps the time between tokens.
+    network_seconds : float
+        Time of one way from this entry VM.
+    loaded : frozenset of str
+        Adapters and versions that need no load from the weight store.
     """
 
     name: str
@@ -28,5 +36,9 @@
     role: str = "mixed"
     reclaimable: bool = False
     leaving: bool = False
-    queued_prefill_tokens: int = 0
-    running_streams: int = 0
+    queued_prefill_tokens: float = 0
+    running_streams: float = 0
+    prefill_tokens_per_second: float = 8000.0
+    max_streams: int = 64
+    network_seconds: float = 0.0
+    loaded: frozenset[str] = frozenset()
--- a/wisteriagw/routing/_choice.py
+++ b/wisteriagw/routing/_choice.py
@@ -1,4 +1,4 @@
-"""Choice of a backend server for a request."""
+"""Choice of the backend server for a request."""
 
 from __future__ import annotations
 
@@ -8,36 +8,76 @@
 from wisteriagw.routing._routing_decision import RoutingDecision
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
     from wisteriagw.routing._backend_view import BackendView
     from wisteriagw.routing._route_request import RouteRequest
 
-PREFILL_TOKENS_PER_SECOND = 8000.0
-SECONDS_PER_RUNNING_STREAM = 0.002
+# The weight store is rate-limited: a load takes seconds, so it outweighs most queues.
+LOAD_SECONDS = 3.0
+# Weight of a full batch in the estimate; it keeps short prompts off engines whose
+# batch is nearly full although their prefill queue is empty.
+PRESSURE_SECONDS = 0.3
+PREFIX_BLOCK_TOKENS = 1000
+TOO_LATE = "too late for the deadline"
+NO_CACHED_BLOCKS: Mapping[str, int] = {}
 
 
 def choose_backend_server(
-    request: RouteRequest, views: Iterable[BackendView], now: float
+    request: RouteRequest,
+    views: Iterable[BackendView],
+    now: float,
+    cached_blocks: Mapping[str, int] = NO_CACHED_BLOCKS,
+    longest_wait: float = float("inf"),
+    seconds_left: float = float("inf"),
 ) -> RoutingDecision:
-    """Return the backend server with the lowest estimated time to the first token."""
+    """Return the backend server with the lowest estimated time to the first token.
+
+    Parameters
+    ----------
+    request : RouteRequest
+        What is to be placed.
+    views : iterable of BackendView
+        Candidates.
+    now : float
+        Time of the decision in seconds.
+    cached_blocks : mapping of str to int
+        Blocks of the prompt that backend servers hold, by name.
+    longest_wait : float
+        A server whose queue is longer, in seconds, or whose batch is full gets
+        nothing now: the request waits in the fair queue instead.
+    seconds_left : float
+        Time until the deadline of the first token.
+    """
     best: BackendView | None = None
-    best_seconds = float("inf")
+    best_seconds = seconds_left
+    busy = ""
     weighed: list[tuple[BackendView, float, str]] = []
     for view in views:
         reason = find_exclusion(request, view)
         if reason:
             weighed.append((view, float("inf"), reason))
             continue
-        seconds = estimate_first_token_seconds(request, view)
+        blocks = cached_blocks.get(view.name, 0)
+        seconds = estimate_first_token_seconds(request, view, blocks)
+        if seconds > seconds_left:
+            weighed.append((view, seconds, TOO_LATE))
+            continue
+        reason = find_congestion(view, longest_wait)
+        if reason:
+            busy = reason
+            weighed.append((view, seconds, reason))
+            continue
         weighed.append((view, seconds, "slower"))
-        if seconds < best_seconds:
+        if best is None or seconds < best_seconds:
             best, best_seconds = view, seconds
     alternatives = tuple(
         Alternative(view.name, seconds, "" if view is best else reason)
         for view, seconds, reason in weighed
     )
-    return RoutingDecision(best.name if best else None, alternatives)
+    if best is None:
+        return RoutingDecision(None, alternatives, busy)
+    return RoutingDecision(best.name, alternatives, "", best_seconds)
 
 
 def find_exclusion(request: RouteRequest, view: BackendView) -> str:
@@ -53,10 +93,29 @@
     return ""
 
 
-def estimate_first_token_seconds(request: RouteRequest, view: BackendView) -> float:
+def find_congestion(view: BackendView, longest_wait: float) -> str:
+    """Return why a backend server gets nothing at the moment, or an empty text."""
+    if longest_wait == float("inf"):
+        return ""
+    if view.running_streams >= view.max_streams:
+        return "batch full"
+    if view.queued_prefill_tokens > longest_wait * view.prefill_tokens_per_second:
+        return "queue longer than the wait allowed"
+    return ""
+
+
+def estimate_first_token_seconds(
+    request: RouteRequest, view: BackendView, cached_blocks: int = 0
+) -> float:
     """Return the estimated time to the first token on a backend server."""
-    prefill_tokens = view.queued_prefill_tokens + request.prompt_tokens
-    return (
-        prefill_tokens / PREFILL_TOKENS_PER_SECOND
-        + view.running_streams * SECONDS_PER_RUNNING_STREAM
+    uncached = max(0, request.prompt_tokens - cached_blocks * PREFIX_BLOCK_TOKENS)
+    tokens = view.queued_prefill_tokens + uncached
+    fill = view.running_streams / view.max_streams
+    seconds = (
+        2 * view.network_seconds
+        + tokens / view.prefill_tokens_per_second
+        + PRESSURE_SECONDS * fill * fill
     )
+    if request.adapter and request.adapter not in view.loaded:
+        seconds += LOAD_SECONDS
+    return seconds
--- /dev/null
+++ b/wisteriagw/routing/_load_table.py
@@ -0,0 +1,119 @@
+"""Backend servers with their estimated load."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wisteriagw.routing._server_load import PEERS_VALID_SECONDS, ServerLoad
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Mapping
+
+    from wisteriagw.routing._backend_view import BackendView
+    from wisteriagw.routing._load_report import LoadReport
+    from wisteriagw.routing._peer_load import PeerLoad
+    from wisteriagw.routing._role_profile import RoleProfile
+    from wisteriagw.routing._route_request import RouteRequest
+
+# With up to this many servers all are scored; beyond it the candidates are sampled.
+SCORE_ALL = 16
+SAMPLES = 6
+
+
+class LoadTable:
+    """Backend servers by name, and the account of the work on each."""
+
+    def __init__(self, profiles: Mapping[str, RoleProfile]) -> None:
+        self.profiles = profiles
+        self.views: dict[str, BackendView] = {}
+        self.loads: dict[str, ServerLoad] = {}
+        self._names: dict[str, list[str]] = {}
+        self._peers: dict[str, tuple[float, PeerLoad]] = {}
+
+    def set_servers(self, views: Iterable[BackendView]) -> None:
+        """Take over the backend servers; the accounts of known ones are kept."""
+        self.views = {view.name: self._apply_profile(view) for view in views}
+        self._names = {}
+        for view in self.views.values():
+            self.loads.setdefault(view.name, ServerLoad())
+            self._names.setdefault(view.serves, []).append(view.name)
+
+    def replace_view(self, view: BackendView) -> None:
+        """Take over a change of a known backend server."""
+        self.views[view.name] = self._apply_profile(view)
+
+    def apply_report(self, report: LoadReport) -> None:
+        """Take in a load report."""
+        load = self.loads.get(report.backend_server)
+        if load is not None:
+            load.apply_report(report)
+
+    def apply_peer(self, peer: PeerLoad, now: float) -> None:
+        """Take in what another entry VM has outstanding; silent ones are dropped."""
+        if len(self.views) > SCORE_ALL:
+            return
+        self._peers[peer.vm] = (now, peer)
+        for vm, (heard_at, _) in list(self._peers.items()):
+            if now - heard_at > PEERS_VALID_SECONDS:
+                del self._peers[vm]
+        for name, load in self.loads.items():
+            tokens = streams = 0.0
+            for _, other in self._peers.values():
+                outstanding = other.loads.get(name)
+                if outstanding is not None:
+                    tokens += outstanding[0]
+                    streams += outstanding[1]
+            load.set_peers(tokens, streams, len(self._peers), now)
+
+    def list_own(self) -> dict[str, tuple[float, int]]:
+        """Return the own outstanding work by server, for other entry VMs."""
+        return {
+            name: (load.own_tokens, load.own_streams)
+            for name, load in self.loads.items()
+            if load.own_streams
+        }
+
+    def list_candidates(
+        self,
+        request: RouteRequest,
+        holders: Iterable[str],
+        draw: Callable[[int], int],
+        now: float,
+    ) -> list[BackendView]:
+        """Return the views to score: cache holders and a bounded random sample.
+
+        Parameters
+        ----------
+        request : RouteRequest
+            What is to be placed.
+        holders : iterable of str
+            Servers that hold a prefix of the prompt.
+        draw : callable
+            Returns a random number below its argument; entry VMs draw differently, so
+            that they don't all choose the same idle server.
+        now : float
+            Time in seconds.
+        """
+        names = self._names.get(request.serves, [])
+        if len(names) > SCORE_ALL:
+            chosen = dict.fromkeys(name for name in holders if name in self.views)
+            for _ in range(SAMPLES):
+                chosen[names[draw(len(names))]] = None
+            names = list(chosen)
+        views = []
+        for name in names:
+            tokens, streams = self.loads[name].estimate(now)
+            view = self.views[name]
+            views.append(
+                view._replace(queued_prefill_tokens=tokens, running_streams=streams)
+            )
+        return views
+
+    def _apply_profile(self, view: BackendView) -> BackendView:
+        profile = self.profiles.get(view.role)
+        if profile is None:
+            return view
+        return view._replace(
+            prefill_tokens_per_second=profile.prefill_tokens_per_second,
+            max_streams=profile.max_streams,
+        )
--- /dev/null
+++ b/wisteriagw/routing/_peer_load.py
@@ -0,0 +1,23 @@
+"""Work of another entry VM on the backend servers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+class PeerLoad(NamedTuple):
+    """What another entry VM has outstanding, from its heartbeat.
+
+    Attributes
+    ----------
+    vm : str
+        The other entry VM.
+    loads : mapping of str to tuple of float and int
+        Prefill tokens without a first token, and streams, by backend server.
+    """
+
+    vm: str
+    loads: Mapping[str, tuple[float, int]]
--- a/wisteriagw/routing/_route_request.py
+++ b/wisteriagw/routing/_route_request.py
@@ -18,6 +18,12 @@
         Whether it may be cut and run again.
     excluded : tuple of str
         Backend servers that already failed this request.
+    priority : int
+        Requests of a higher priority are dispatched first within a customer.
+    blocks : tuple of int
+        Cumulative hashes of the whole prompt blocks.
+    adapter : str
+        Adapter or version that must be loaded; empty if none.
     """
 
     customer: str
@@ -26,3 +32,6 @@
     max_tokens: int = 0
     repeatable: bool = True
     excluded: tuple[str, ...] = ()
+    priority: int = 0
+    blocks: tuple[int, ...] = ()
+    adapter: str = ""
--- /dev/null
+++ b/wisteriagw/routing/_server_load.py
@@ -0,0 +1,112 @@
+"""Account of the work on one backend server."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from wisteriagw.routing._load_report import LoadReport
+
+# An older report says nothing of the present; reports lag by up to 5 s.
+REPORT_VALID_SECONDS = 5.0
+# Queues of other entry VMs return to their mean within about this time.
+OTHERS_SECONDS = 2.0
+OTHERS_SMOOTHING = 0.3
+# Heartbeats come every second; after three lost ones the reports are used.
+PEERS_VALID_SECONDS = 3.0
+# Other entry VMs see the same idle server and send there too; this part of the own
+# sends since the last heartbeat is expected of each of them.
+HERD = 0.3
+
+
+class ServerLoad:
+    """Work of this entry VM, and of the others by the last report.
+
+    The own part is exact. The part of other entry VMs is what the last report holds
+    beyond the own work at the report's time; with the age of the report it tends to its
+    mean. Changes of the own work since the report's time are kept for that.
+    """
+
+    __slots__ = (
+        "own_tokens",
+        "own_streams",
+        "as_of",
+        "_changes",
+        "_peers_at",
+        "_peers_tokens",
+        "_peers_streams",
+        "_sent_tokens",
+        "_sent_streams",
+        "_peers",
+        "_others_tokens",
+        "_others_streams",
+        "_mean_tokens",
+        "_mean_streams",
+    )
+
+    def __init__(self) -> None:
+        self.own_tokens = 0.0
+        self.own_streams = 0
+        self.as_of = -math.inf
+        self._peers_at = -math.inf
+        self._peers_tokens = self._peers_streams = 0.0
+        self._sent_tokens = self._sent_streams = 0.0
+        self._peers = 0
+        self._changes: deque[tuple[float, float, int]] = deque()
+        self._others_tokens = self._others_streams = 0.0
+        self._mean_tokens = self._mean_streams = 0.0
+
+    def change(self, tokens: float, streams: int, now: float) -> None:
+        """Add to the own work, or take away what is done."""
+        self.own_tokens += tokens
+        self.own_streams += streams
+        if streams > 0:
+            self._sent_tokens += tokens
+            self._sent_streams += streams
+        self._changes.append((now, tokens, streams))
+        while self._changes[0][0] < now - 2 * REPORT_VALID_SECONDS:
+            self._changes.popleft()
+
+    def apply_report(self, report: LoadReport) -> None:
+        """Take in a report; an older one than the last changes nothing."""
+        if report.as_of <= self.as_of:
+            return
+        self.as_of = report.as_of
+        while self._changes and self._changes[0][0] <= report.as_of:
+            self._changes.popleft()
+        own_tokens, own_streams = self.own_tokens, float(self.own_streams)
+        for _, tokens, streams in self._changes:
+            own_tokens -= tokens
+            own_streams -= streams
+        self._others_tokens = max(0.0, report.queued_prefill_tokens - own_tokens)
+        self._others_streams = max(0.0, report.running_streams - own_streams)
+        smoothing = OTHERS_SMOOTHING
+        self._mean_tokens += smoothing * (self._others_tokens - self._mean_tokens)
+        self._mean_streams += smoothing * (self._others_streams - self._mean_streams)
+
+    def set_peers(self, tokens: float, streams: float, peers: int, now: float) -> None:
+        """Take in the sum of what the other entry VMs have outstanding here."""
+        self._peers_at = now
+        self._peers_tokens, self._peers_streams = tokens, streams
+        self._peers = peers
+        self._sent_tokens = self._sent_streams = 0.0
+
+    def estimate(self, now: float) -> tuple[float, float]:
+        """Return the estimated queued tokens and streams of all entry VMs."""
+        if now - self._peers_at <= PEERS_VALID_SECONDS:
+            factor = HERD * self._peers
+            return (
+                self.own_tokens + self._peers_tokens + factor * self._sent_tokens,
+                self.own_streams + self._peers_streams + factor * self._sent_streams,
+            )
+        age = now - self.as_of
+        if age > REPORT_VALID_SECONDS:
+            return self.own_tokens, float(self.own_streams)
+        kept = math.exp(-age / OTHERS_SECONDS)
+        tokens = self._mean_tokens + kept * (self._others_tokens - self._mean_tokens)
+        streams = self._mean_streams + kept * (
+            self._others_streams - self._mean_streams
+        )
+        return self.own_tokens + tokens, self.own_streams + streams
