--- a/wisteriagw/measure/_fake_control.py
+++ b/wisteriagw/measure/_fake_control.py
@@ -7,7 +7,14 @@
 from wisteriagw.measure._engine_role_model import CAPACITY
 from wisteriagw.measure._fake_engine import FakeEngine
 from wisteriagw.measure._fake_service import FakeService
-from wisteriagw.roles import Demand, EngineRole, RolesView, plan_roles, smooth_demand
+from wisteriagw.roles import (
+    RECENT_SECONDS,
+    Demand,
+    EngineRole,
+    RolesView,
+    plan_roles,
+    smooth_demand,
+)
 from wisteriagw.spending import (
     DataCentreOffer,
     Forecast,
@@ -49,6 +56,7 @@
         self._asked = [0.0, 0.0]
         self._changing: set[str] = set()
         self._starting: dict[str, Any] = {}
+        self._changes: list[float] = []
         self._last_change = (float("-inf"), "")
         self._enough_since = {"model": 0.0, "service": 0.0}
         self._work_seen = {"model": 0.0, "service": 0.0}
@@ -113,12 +121,17 @@
         if not self.simulation.policy.roles or now < self.paused_until:
             return
         view = RolesView(
-            self._list_engines(), self.demand, self._get_profiles(), *self._last_change
+            self._list_engines(),
+            self.demand,
+            self._get_profiles(),
+            *self._last_change,
+            sum(1 for at in self._changes if now - at < RECENT_SECONDS),
         )
         decision = plan_roles(view, now)
         for change in decision.changes:
             self.explained.append((now, decision))
             self.role_changes += 1
+            self._changes.append(now)
             self._last_change = (now, change.role)
             server = self.simulation.servers[change.backend_server]
             self._changing.add(server.name)
--- a/wisteriagw/roles/__init__.py
+++ b/wisteriagw/roles/__init__.py
@@ -4,13 +4,14 @@
 
 from wisteriagw.roles._demand import Demand, smooth_demand
 from wisteriagw.roles._engine_role import EngineRole
-from wisteriagw.roles._planning import plan_roles
+from wisteriagw.roles._planning import RECENT_SECONDS, plan_roles
 from wisteriagw.roles._role_alternative import RoleAlternative
 from wisteriagw.roles._role_change import RoleChange
 from wisteriagw.roles._roles_decision import RolesDecision
 from wisteriagw.roles._roles_view import RolesView
 
 __all__ = [
+    "RECENT_SECONDS",
     "Demand",
     "EngineRole",
     "RoleAlternative",
--- a/wisteriagw/roles/_planning.py
+++ b/wisteriagw/roles/_planning.py
@@ -24,6 +24,9 @@
 MIN_NET_GAIN = 0.3
 SECONDS_BETWEEN_TOKENS = 0.03
 DEMAND_VALID_SECONDS = 20.0
+# After several changes the mix is swinging, and a gain lasts less than the horizon.
+RECENT_SECONDS = 300.0
+RECENT_COST_FACTOR = 1.0
 
 
 def plan_roles(view: RolesView, now: float) -> RolesDecision:
@@ -43,6 +46,7 @@
         gain = HORIZON_SECONDS * (strain - estimate_strain(view, target, count))
         loss = estimate_strain(view, away, count - 1) - strain
         cost = max(0.0, loss) * AWAY_SECONDS + MIN_NET_GAIN
+        cost *= 1.0 + RECENT_COST_FACTOR * view.recent_changes
         option = RoleAlternative(target, gain, cost, "")
         reason = find_fault(view, option, prefill, now)
         alternatives.append(option._replace(reason=reason))
--- a/wisteriagw/roles/_roles_view.py
+++ b/wisteriagw/roles/_roles_view.py
@@ -28,6 +28,8 @@
         Time at which the last change was ordered.
     last_role : str
         Role that the last change led to; a change back has to wait longer.
+    recent_changes : int
+        Changes ordered within the last ``RECENT_SECONDS``.
     """
 
     engines: tuple[EngineRole, ...]
@@ -35,3 +37,4 @@
     profiles: Mapping[str, RoleProfile]
     last_change_at: float = -math.inf
     last_role: str = ""
+    recent_changes: int = 0
