--- a/wisteriagw/dispatch/_dispatcher.py
+++ b/wisteriagw/dispatch/_dispatcher.py
@@ -31,6 +31,9 @@
 EXPLAINED_DECISIONS = 256
 OUTPUT_SMOOTHING = 0.05
 EXPECTED_OUTPUT_TOKENS = 100.0
+# Calls that must not repeat have only the dependable servers; the others leave them
+# this part of each where such calls are made.
+RESERVED_PART = 0.25
 # Work of a plain service call in the unit of engine seconds; only ratios matter.
 SERVICE_CALL_WORK = 0.05
 
@@ -173,7 +176,13 @@
         views = self.table.list_candidates(request, cached, self._draw, now)
         left = queued.deadline - now if self.limits.refuse_late else math.inf
         decision = choose_backend_server(
-            request, views, now, cached, self.limits.longest_engine_wait, left
+            request,
+            views,
+            now,
+            cached,
+            self.limits.longest_engine_wait,
+            left,
+            RESERVED_PART if (request.serves, False) in self._queues else 0.0,
         )
         self.decision_count += 1
         self.decisions.append((now, request, decision))
--- a/wisteriagw/measure/_fake_control.py
+++ b/wisteriagw/measure/_fake_control.py
@@ -36,6 +36,8 @@
 CRASH_PART = 0.1
 CRASH_SECONDS = 20.0
 START_SECONDS = 90.0
+# The fleet is limited: the platform gives at most this many times the workers.
+PLATFORM_LIMIT = 1.5
 HAND_OVER_AFTER_SECONDS = 2.0
 # A drain that hands nothing over waits for the streams at most this long.
 POLL_SECONDS = 0.25
@@ -189,19 +191,19 @@
         now = self.events.now
         once = 0.3 if serves == "service" else 0.0
         predicted = predict_load(self.forecasts[serves], START_SECONDS / 3)
-        needed = predicted / 0.8
         owned = self._list_owned(serves)
-        if needed > len([server for server in owned if not server.leaving]):
-            self._enough_since[serves] = now
         view = SpendingView(
             self._list_offers(),
             owned,
-            needed,
-            needed * once,
+            predicted,
+            predicted * once,
             self._enough_since[serves],
             self.forecasts[serves].at,
+            self._get_limit(serves),
         )
         decision = plan_spending(view, now)
+        if decision.orders:
+            self._enough_since[serves] = now
         if decision.orders or decision.returns:
             self.explained.append((now, decision))
         for order in decision.orders:
@@ -211,6 +213,11 @@
             self._enough_since[serves] = now
             self.drain(self.simulation.servers[name], self.take_away)
 
+    def _get_limit(self, serves: str) -> int:
+        deployment = self.simulation.deployment
+        counts = {"model": deployment.workers, "service": deployment.service_workers}
+        return int(counts[serves] * PLATFORM_LIMIT)
+
     def _list_offers(self) -> tuple[DataCentreOffer, ...]:
         gone = self.simulation.cheap_gone
         now = self.events.now
--- a/wisteriagw/measure/_simulation.py
+++ b/wisteriagw/measure/_simulation.py
@@ -29,9 +29,9 @@
 
 # What the sheet says of the engines; the fakes' own figures are in ROLE_MODELS.
 PROFILES = {
-    "prefill": RoleProfile(21_000.0, 16),
-    "decode": RoleProfile(5_700.0, 76),
-    "service": RoleProfile(8_000.0, 8),
+    "prefill": RoleProfile(21_300.0, 16, 24_600.0),
+    "decode": RoleProfile(5_300.0, 76, 14_500.0),
+    "service": RoleProfile(8_000.0, 8, call_seconds=0.3),
 }
 REPORT_SECONDS = 1.0
 REPORT_LAG = (1.0, 5.0)
--- a/wisteriagw/roles/_planning.py
+++ b/wisteriagw/roles/_planning.py
@@ -7,6 +7,7 @@
 from wisteriagw.roles._role_alternative import RoleAlternative
 from wisteriagw.roles._role_change import RoleChange
 from wisteriagw.roles._roles_decision import RolesDecision
+from wisteriagw.routing import compute_prefill_rate
 
 if TYPE_CHECKING:
     from wisteriagw.roles._engine_role import EngineRole
@@ -93,14 +94,13 @@
     """Return how far both loads are above the comfortable load, squared and added."""
     prefill, decode = view.profiles["prefill"], view.profiles["decode"]
     others = engines - prefill_engines
-    rate = (
-        prefill_engines * prefill.prefill_tokens_per_second
-        + others * decode.prefill_tokens_per_second
-    )
     slots = prefill_engines * prefill.max_streams + others * decode.max_streams
     streams = view.demand.decode_tokens_per_second * SECONDS_BETWEEN_TOKENS
-    prefill_load = view.demand.prefill_tokens_per_second / max(rate, 1.0)
     decode_load = streams / max(slots, 1)
+    rate = prefill_engines * compute_prefill_rate(
+        prefill, decode_load * prefill.max_streams
+    ) + others * compute_prefill_rate(decode, decode_load * decode.max_streams)
+    prefill_load = view.demand.prefill_tokens_per_second / max(rate, 1.0)
     prefill_over = max(0.0, prefill_load - COMFORTABLE_LOAD)
     decode_over = max(0.0, decode_load - COMFORTABLE_LOAD)
     return prefill_over * prefill_over + decode_over * decode_over
--- a/wisteriagw/routing/__init__.py
+++ b/wisteriagw/routing/__init__.py
@@ -14,7 +14,7 @@
 from wisteriagw.routing._load_table import LoadTable
 from wisteriagw.routing._peer_load import PeerLoad
 from wisteriagw.routing._prefix_index import PrefixIndex
-from wisteriagw.routing._role_profile import RoleProfile
+from wisteriagw.routing._role_profile import RoleProfile, compute_prefill_rate
 from wisteriagw.routing._route_request import RouteRequest
 from wisteriagw.routing._routing_decision import RoutingDecision
 from wisteriagw.routing._server_load import ServerLoad
@@ -35,5 +35,6 @@
     "RoutingDecision",
     "ServerLoad",
     "choose_backend_server",
+    "compute_prefill_rate",
     "estimate_tokens",
 ]
--- a/wisteriagw/routing/_backend_view.py
+++ b/wisteriagw/routing/_backend_view.py
@@ -28,6 +28,8 @@
         Time of one way from this entry VM.
     loaded : frozenset of str
         Adapters and versions that need no load from the weight store.
+    call_seconds : float
+        Mean time of a call of a plain service.
     """
 
     name: str
@@ -42,3 +44,4 @@
     max_streams: int = 64
     network_seconds: float = 0.0
     loaded: frozenset[str] = frozenset()
+    call_seconds: float = 0.0
--- a/wisteriagw/routing/_choice.py
+++ b/wisteriagw/routing/_choice.py
@@ -19,6 +19,8 @@
 # batch is nearly full although their prefill queue is empty.
 PRESSURE_SECONDS = 0.3
 PREFIX_BLOCK_TOKENS = 1000
+# Preference of work that may repeat for cheap servers, where both are as good.
+DEPENDABLE_SECONDS = 0.05
 TOO_LATE = "too late for the deadline"
 NO_CACHED_BLOCKS: Mapping[str, int] = {}
 
@@ -30,6 +32,7 @@
     cached_blocks: Mapping[str, int] = NO_CACHED_BLOCKS,
     longest_wait: float = float("inf"),
     seconds_left: float = float("inf"),
+    reserved: float = 0.0,
 ) -> RoutingDecision:
     """Return the backend server with the lowest estimated time to the first token.
 
@@ -48,6 +51,8 @@
         nothing now: the request waits in the fair queue instead.
     seconds_left : float
         Time until the deadline of the first token.
+    reserved : float
+        Part of a dependable server that is kept from work that may repeat.
     """
     best: BackendView | None = None
     best_seconds = seconds_left
@@ -63,7 +68,7 @@
         if seconds > seconds_left:
             weighed.append((view, seconds, TOO_LATE))
             continue
-        reason = find_congestion(view, longest_wait)
+        reason = find_congestion(request, view, longest_wait, reserved)
         if reason:
             busy = reason
             weighed.append((view, seconds, reason))
@@ -93,11 +98,16 @@
     return ""
 
 
-def find_congestion(view: BackendView, longest_wait: float) -> str:
+def find_congestion(
+    request: RouteRequest, view: BackendView, longest_wait: float, reserved: float
+) -> str:
     """Return why a backend server gets nothing at the moment, or an empty text."""
     if longest_wait == float("inf"):
         return ""
-    if view.running_streams >= view.max_streams:
+    places = float(view.max_streams)
+    if reserved and request.repeatable and not view.reclaimable:
+        places *= 1.0 - reserved
+    if view.running_streams >= places:
         return "batch full"
     if view.queued_prefill_tokens > longest_wait * view.prefill_tokens_per_second:
         return "queue longer than the wait allowed"
@@ -115,7 +125,10 @@
         2 * view.network_seconds
         + tokens / view.prefill_tokens_per_second
         + PRESSURE_SECONDS * fill * fill
+        + view.call_seconds * (1.0 + fill)
     )
+    if request.repeatable and not view.reclaimable:
+        seconds += DEPENDABLE_SECONDS
     if request.adapter and request.adapter not in view.loaded:
         seconds += LOAD_SECONDS
     return seconds
--- a/wisteriagw/routing/_load_table.py
+++ b/wisteriagw/routing/_load_table.py
@@ -105,7 +105,10 @@
             tokens, streams = self.loads[name].estimate(now)
             view = self.views[name]
             views.append(
-                view._replace(queued_prefill_tokens=tokens, running_streams=streams)
+                view._replace(
+                    queued_prefill_tokens=tokens,
+                    running_streams=streams,
+                )
             )
         return views
 
@@ -116,4 +119,5 @@
         return view._replace(
             prefill_tokens_per_second=profile.prefill_tokens_per_second,
             max_streams=profile.max_streams,
+            call_seconds=profile.call_seconds,
         )
--- a/wisteriagw/routing/_role_profile.py
+++ b/wisteriagw/routing/_role_profile.py
@@ -11,10 +11,24 @@
     Attributes
     ----------
     prefill_tokens_per_second : float
-        Rate at which uncached prompt tokens are processed.
+        Rate at which uncached prompt tokens are processed beside a full batch.
     max_streams : int
         Batch up to which the time between tokens stays within the target.
+    idle_prefill_tokens_per_second : float
+        The rate beside an empty batch; 0 if it is the same.
+    call_seconds : float
+        Mean time of a call of a plain service.
     """
 
     prefill_tokens_per_second: float
     max_streams: int
+    idle_prefill_tokens_per_second: float = 0.0
+    call_seconds: float = 0.0
+
+
+def compute_prefill_rate(profile: RoleProfile, streams: float) -> float:
+    """Return the prefill rate beside a batch; the time per token grows with it."""
+    full = profile.prefill_tokens_per_second
+    idle = profile.idle_prefill_tokens_per_second or full
+    fill = min(1.0, streams / profile.max_streams)
+    return 1.0 / (1.0 / idle + fill * (1.0 / full - 1.0 / idle))
--- a/wisteriagw/spending/_planning.py
+++ b/wisteriagw/spending/_planning.py
@@ -36,10 +36,11 @@
     centres = {offer.data_centre for offer in cheap_offers}
     centres |= {server.data_centre for server in held if server.reclaimable}
     target, lost = choose_target(
-        view.needed, view.needed_once, len(centres), (cheap_price, dependable_price)
+        view.load, view.load_once, len(centres), (cheap_price, dependable_price)
     )
     cheap = [server for server in held if server.reclaimable]
     dependable = [server for server in held if not server.reclaimable]
+    target = limit_target(target, view.max_servers)
     orders = list_orders(view, cheap, target, cheap=True)
     missing = target.cheap - len(cheap) - sum(order.count for order in orders)
     if missing > 0:
@@ -48,12 +49,18 @@
     orders += list_orders(view, dependable, target, cheap=False)
     settled = not orders and all(server.up for server in held)
     returns: tuple[str, ...] = ()
-    if settled and now - view.needed_since >= HOLD_SECONDS:
+    if settled and now - view.enough_since >= HOLD_SECONDS:
         returns = list_returns(cheap, dependable, target)
-    reason = f"needed {view.needed:.2f}, of it {view.needed_once:.2f} once only"
+    reason = f"load {view.load:.2f}, of it {view.load_once:.2f} once only"
     return SpendingDecision(tuple(orders), returns, reason, target, lost)
 
 
+def limit_target(target: FleetTarget, max_servers: int) -> FleetTarget:
+    """Return a target within the platform's limit, with fewer cheap servers."""
+    cheap = max(0, min(target.cheap, max_servers - target.dependable))
+    return target._replace(cheap=cheap)
+
+
 def list_orders(
     view: SpendingView, held: list[OwnedServer], target: FleetTarget, *, cheap: bool
 ) -> list[ServerOrder]:
--- a/wisteriagw/spending/_spending_view.py
+++ b/wisteriagw/spending/_spending_view.py
@@ -19,19 +19,22 @@
         What can be ordered where.
     servers : tuple of OwnedServer
         All that are paid for.
-    needed : float
-        Forecast load in servers, headroom included.
-    needed_once : float
+    load : float
+        Forecast load in fully used servers.
+    load_once : float
         Part of it that must not repeat.
-    needed_since : float
-        Time since which the forecast has been at or below what is owned.
+    enough_since : float
+        Time since which the servers that are held have been enough.
     forecast_at : float
         Time of the forecast's last sample.
+    max_servers : int
+        Servers that the platform lets us have.
     """
 
     offers: tuple[DataCentreOffer, ...]
     servers: tuple[OwnedServer, ...]
-    needed: float
-    needed_once: float = 0.0
-    needed_since: float = math.inf
+    load: float
+    load_once: float = 0.0
+    enough_since: float = math.inf
     forecast_at: float = -math.inf
+    max_servers: int = 1_000_000
