--- a/wisteriagw/routing/_backend_view.py
+++ b/wisteriagw/routing/_backend_view.py
@@ -30,6 +30,10 @@
         Adapters and versions that need no load from the weight store.
     call_seconds : float
         Mean time of a call of a plain service.
+    own_prefill_tokens, own_streams : float and int
+        The part of the load that this entry VM caused.
+    entry_vms : int
+        Entry VMs whose work is known here, this one included; 0 if it is not known.
     """
 
     name: str
@@ -45,3 +49,6 @@
     network_seconds: float = 0.0
     loaded: frozenset[str] = frozenset()
     call_seconds: float = 0.0
+    own_prefill_tokens: float = 0.0
+    own_streams: int = 0
+    entry_vms: int = 0
--- a/wisteriagw/routing/_choice.py
+++ b/wisteriagw/routing/_choice.py
@@ -107,9 +107,14 @@
     places = float(view.max_streams)
     if reserved and request.repeatable and not view.reclaimable:
         places *= 1.0 - reserved
-    if view.running_streams >= places:
+    # An entry VM below its even part may send although the server is full: otherwise
+    # one without work there would wait for ever behind the others.
+    sharing = view.entry_vms
+    if view.running_streams >= places and view.own_streams * sharing >= places:
         return "batch full"
-    if view.queued_prefill_tokens > longest_wait * view.prefill_tokens_per_second:
+    tokens = longest_wait * view.prefill_tokens_per_second
+    own_tokens = view.own_prefill_tokens * sharing
+    if view.queued_prefill_tokens > tokens and own_tokens >= tokens * bool(sharing):
         return "queue longer than the wait allowed"
     return ""
 
--- a/wisteriagw/routing/_load_table.py
+++ b/wisteriagw/routing/_load_table.py
@@ -102,12 +102,16 @@
             names = list(chosen)
         views = []
         for name in names:
-            tokens, streams = self.loads[name].estimate(now)
+            load = self.loads[name]
+            tokens, streams = load.estimate(now)
             view = self.views[name]
             views.append(
                 view._replace(
                     queued_prefill_tokens=tokens,
                     running_streams=streams,
+                    own_prefill_tokens=load.own_tokens,
+                    own_streams=load.own_streams,
+                    entry_vms=load.count_entry_vms(now),
                 )
             )
         return views
--- a/wisteriagw/routing/_server_load.py
+++ b/wisteriagw/routing/_server_load.py
@@ -93,6 +93,10 @@
         self._peers = peers
         self._sent_tokens = self._sent_streams = 0.0
 
+    def count_entry_vms(self, now: float) -> int:
+        """Return the entry VMs whose work is known here, 0 without heartbeats."""
+        return self._peers + 1 if now - self._peers_at <= PEERS_VALID_SECONDS else 0
+
     def estimate(self, now: float) -> tuple[float, float]:
         """Return the estimated queued tokens and streams of all entry VMs."""
         if now - self._peers_at <= PEERS_VALID_SECONDS:
