--- a/wisteriagw/dispatch/_dispatcher.py
+++ b/wisteriagw/dispatch/_dispatcher.py
@@ -32,8 +32,8 @@
 OUTPUT_SMOOTHING = 0.05
 EXPECTED_OUTPUT_TOKENS = 100.0
 # Calls that must not repeat have only the dependable servers; the others leave them
-# this part of each where such calls are made.
-RESERVED_PART = 0.25
+# half of each where such calls are made.
+RESERVED_PART = 0.5
 # Work of a plain service call in the unit of engine seconds; only ratios matter.
 SERVICE_CALL_WORK = 0.05
 
--- a/wisteriagw/routing/_choice.py
+++ b/wisteriagw/routing/_choice.py
@@ -21,6 +21,10 @@
 PREFIX_BLOCK_TOKENS = 1000
 # Preference of work that may repeat for cheap servers, where both are as good.
 DEPENDABLE_SECONDS = 0.05
+# Decode engines are too slow for long prompts, so short ones leave them half of
+# the places of prefill engines.
+LONG_PROMPT_TOKENS = 2000
+SHORT_PROMPT_PART = 0.5
 TOO_LATE = "too late for the deadline"
 NO_CACHED_BLOCKS: Mapping[str, int] = {}
 
@@ -107,14 +111,17 @@
     places = float(view.max_streams)
     if reserved and request.repeatable and not view.reclaimable:
         places *= 1.0 - reserved
+    if view.role == "prefill" and request.prompt_tokens < LONG_PROMPT_TOKENS:
+        places *= SHORT_PROMPT_PART
     # An entry VM below its even part may send although the server is full: otherwise
     # one without work there would wait for ever behind the others.
     sharing = view.entry_vms
-    if view.running_streams >= places and view.own_streams * sharing >= places:
+    over_part = not sharing or view.own_streams * sharing >= places
+    if view.running_streams >= places and over_part:
         return "batch full"
     tokens = longest_wait * view.prefill_tokens_per_second
-    own_tokens = view.own_prefill_tokens * sharing
-    if view.queued_prefill_tokens > tokens and own_tokens >= tokens * bool(sharing):
+    over_part = not sharing or view.own_prefill_tokens * sharing >= tokens
+    if view.queued_prefill_tokens > tokens and over_part:
         return "queue longer than the wait allowed"
     return ""
 
