--- a/wisteriagw/routing/_choice.py
+++ b/wisteriagw/routing/_choice.py
@@ -114,9 +114,11 @@
     if view.role == "prefill" and request.prompt_tokens < LONG_PROMPT_TOKENS:
         places *= SHORT_PROMPT_PART
     # An entry VM below its even part may send although the server is full: otherwise
-    # one without work there would wait for ever behind the others.
+    # one without work there would wait for ever behind the others. Places that are
+    # kept for other work are not given away by this.
     sharing = view.entry_vms
-    over_part = not sharing or view.own_streams * sharing >= places
+    kept = places < view.max_streams
+    over_part = not sharing or kept or view.own_streams * sharing >= places
     if view.running_streams >= places and over_part:
         return "batch full"
     tokens = longest_wait * view.prefill_tokens_per_second
