--- a/wisteriagw/dispatch/_dispatcher.py
+++ b/wisteriagw/dispatch/_dispatcher.py
@@ -13,6 +13,7 @@
     FairQueue,
     QueuedRequest,
     Refusal,
+    ShareMeter,
     WorkCost,
     compute_work,
 )
@@ -28,6 +29,9 @@
 
     from wisteriagw.routing import LoadTable, RouteRequest, RoutingDecision
 
+# Part of a server's places that customers above their share may fill, so that a request
+# of the others finds a place at once.
+OVER_PART = 0.75
 EXPLAINED_DECISIONS = 256
 OUTPUT_SMOOTHING = 0.05
 EXPECTED_OUTPUT_TOKENS = 100.0
@@ -62,7 +66,8 @@
             maxlen=EXPLAINED_DECISIONS
         )
         # Work charged since the last call of ``take_served_work``, for other entry VMs.
-        self._served: dict[str, float] = {}
+        self._served: dict[str, dict[str, float]] = {}
+        self._meters: dict[str, ShareMeter] = {}
         self._draw = draw
         self._queues: dict[tuple[str, bool], FairQueue] = {}
         self._running: dict[str, Running] = {}
@@ -113,18 +118,25 @@
         if not running.prefill_tokens:
             return
         work = compute_work(self.cost, running.prefill_tokens, generated_tokens)
-        self._charge(running.queue_key, running.customer, work - running.work)
+        self._charge(running.queue_key, running.customer, work - running.work, now)
         mean = self._outputs.get(running.output_key, EXPECTED_OUTPUT_TOKENS)
         mean += OUTPUT_SMOOTHING * (generated_tokens - mean)
         self._outputs[running.output_key] = mean
 
-    def apply_served_work(self, served: Mapping[str, float]) -> None:
-        """Take in work that another entry VM served, by customer."""
-        for queue in self._queues.values():
-            for customer, work in served.items():
-                queue.charge(customer, work)
+    def apply_served_work(
+        self, served: Mapping[str, Mapping[str, float]], now: float
+    ) -> None:
+        """Take in what another entry VM served, by model or service and customer."""
+        for serves, works in served.items():
+            meter = self._get_meter(serves)
+            for customer, work in works.items():
+                meter.add(customer, work, now)
+                for repeatable in (False, True):
+                    queue = self._queues.get((serves, repeatable))
+                    if queue is not None:
+                        queue.charge(customer, work)
 
-    def take_served_work(self) -> dict[str, float]:
+    def take_served_work(self) -> dict[str, dict[str, float]]:
         """Return the work served here since the last call, for other entry VMs."""
         served, self._served = self._served, {}
         return served
@@ -183,6 +195,7 @@
             self.limits.longest_engine_wait,
             left,
             RESERVED_PART if (request.serves, False) in self._queues else 0.0,
+            OVER_PART if self._is_over(request) else 1.0,
         )
         self.decision_count += 1
         self.decisions.append((now, request, decision))
@@ -195,10 +208,8 @@
         key = (request.serves, request.repeatable)
         tokens = max(0, request.prompt_tokens - cached_blocks * PREFIX_BLOCK_TOKENS)
         work = self._estimate_work(request, tokens)
-        self._charge(key, request.customer, work - queued.work)
-        self._served[request.customer] = (
-            self._served.get(request.customer, 0.0) + queued.work
-        )
+        self._charge(key, request.customer, work - queued.work, now)
+        self._note_served(key[0], request.customer, queued.work, now)
         self.table.loads[server].change(tokens, 1, now)
         self.index.add(server, request.blocks)
         self._running[queued.handle] = Running(
@@ -211,9 +222,27 @@
             build_output_key(request),
         )
 
-    def _charge(self, key: tuple[str, bool], customer: str, work: float) -> None:
+    def _charge(
+        self, key: tuple[str, bool], customer: str, work: float, now: float
+    ) -> None:
         self._queues[key].charge(customer, work)
-        self._served[customer] = self._served.get(customer, 0.0) + work
+        self._note_served(key[0], customer, work, now)
+
+    def _note_served(self, serves: str, customer: str, work: float, now: float) -> None:
+        works = self._served.setdefault(serves, {})
+        works[customer] = works.get(customer, 0.0) + work
+        self._get_meter(serves).add(customer, work, now)
+
+    def _get_meter(self, serves: str) -> ShareMeter:
+        meter = self._meters.get(serves)
+        if meter is None:
+            meter = self._meters[serves] = ShareMeter(self.weights)
+        return meter
+
+    def _is_over(self, request: RouteRequest) -> bool:
+        return self.limits.fair and self._get_meter(request.serves).is_over(
+            request.customer
+        )
 
     def _estimate_work(self, request: RouteRequest, prefill_tokens: float) -> float:
         if not request.prompt_tokens:
--- /dev/null
+++ b/wisteriagw/fairness/_share_meter.py
@@ -0,0 +1,49 @@
+"""Meter of what customers receive against their shares."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+# Long enough to average a customer's bursts, short against a flood of minutes.
+MEMORY_SECONDS = 10.0
+# A customer at its share goes above it for moments; the margin keeps it within.
+OVER_FACTOR = 1.3
+DEFAULT_WEIGHT = 1.0
+
+
+class ShareMeter:
+    """Work of the last seconds per customer, over all entry VMs."""
+
+    def __init__(self, weights: Mapping[str, float]) -> None:
+        self._weights = weights
+        self._total_weight = sum(weights.values())
+        self._work: dict[str, float] = {}
+        self._total = 0.0
+        self._at = -math.inf
+
+    def add(self, customer: str, work: float, now: float) -> None:
+        """Add work that was served to a customer."""
+        self._decay(now)
+        self._work[customer] = self._work.get(customer, 0.0) + work
+        self._total += work
+
+    def is_over(self, customer: str) -> bool:
+        """Return whether a customer receives clearly more than its share."""
+        if not self._total_weight or self._total <= 0.0:
+            return False
+        weight = self._weights.get(customer, DEFAULT_WEIGHT)
+        share = self._total * weight / self._total_weight
+        return self._work.get(customer, 0.0) > OVER_FACTOR * share
+
+    def _decay(self, now: float) -> None:
+        # Below a second the decay is too small to be worth a pass over all customers.
+        if now - self._at < 1.0:
+            return
+        kept = math.exp((self._at - now) / MEMORY_SECONDS)
+        self._at = now
+        self._work = {name: kept * work for name, work in self._work.items()}
+        self._total = sum(self._work.values())
--- a/wisteriagw/measure/_baseline_dispatcher.py
+++ b/wisteriagw/measure/_baseline_dispatcher.py
@@ -76,10 +76,12 @@
     def forget(self, backend_server: str) -> None:
         """Do nothing."""
 
-    def apply_served_work(self, served: Mapping[str, float]) -> None:
+    def apply_served_work(
+        self, served: Mapping[str, Mapping[str, float]], now: float
+    ) -> None:
         """Do nothing."""
 
-    def take_served_work(self) -> dict[str, float]:
+    def take_served_work(self) -> dict[str, dict[str, float]]:
         """Return nothing."""
         return {}
 
--- a/wisteriagw/measure/_fake_entry.py
+++ b/wisteriagw/measure/_fake_entry.py
@@ -66,9 +66,11 @@
         self.simulation.note_work(attempt, tokens)
         self.events.add(delay, self._note_end, attempt, tokens)
 
-    def hear_heartbeat(self, served: dict[str, float], peer: PeerLoad) -> None:
+    def hear_heartbeat(
+        self, served: dict[str, dict[str, float]], peer: PeerLoad
+    ) -> None:
         """Take the heartbeat of another entry VM."""
-        self.dispatcher.apply_served_work(served)
+        self.dispatcher.apply_served_work(served, self.events.now)
         if self.simulation.policy.peer_loads:
             self.dispatcher.table.apply_peer(peer, self.events.now)
 
--- a/wisteriagw/routing/_choice.py
+++ b/wisteriagw/routing/_choice.py
@@ -37,6 +37,7 @@
     longest_wait: float = float("inf"),
     seconds_left: float = float("inf"),
     reserved: float = 0.0,
+    places_part: float = 1.0,
 ) -> RoutingDecision:
     """Return the backend server with the lowest estimated time to the first token.
 
@@ -57,6 +58,8 @@
         Time until the deadline of the first token.
     reserved : float
         Part of a dependable server that is kept from work that may repeat.
+    places_part : float
+        Part of the places that the customer may fill.
     """
     best: BackendView | None = None
     best_seconds = seconds_left
@@ -72,7 +75,7 @@
         if seconds > seconds_left:
             weighed.append((view, seconds, TOO_LATE))
             continue
-        reason = find_congestion(request, view, longest_wait, reserved)
+        reason = find_congestion(request, view, longest_wait, reserved, places_part)
         if reason:
             busy = reason
             weighed.append((view, seconds, reason))
@@ -103,12 +106,16 @@
 
 
 def find_congestion(
-    request: RouteRequest, view: BackendView, longest_wait: float, reserved: float
+    request: RouteRequest,
+    view: BackendView,
+    longest_wait: float,
+    reserved: float = 0.0,
+    places_part: float = 1.0,
 ) -> str:
     """Return why a backend server gets nothing at the moment, or an empty text."""
     if longest_wait == float("inf"):
         return ""
-    places = float(view.max_streams)
+    places = view.max_streams * places_part
     if reserved and request.repeatable and not view.reclaimable:
         places *= 1.0 - reserved
     if view.role == "prefill" and request.prompt_tokens < LONG_PROMPT_TOKENS:
@@ -121,7 +128,7 @@
     over_part = not sharing or kept or view.own_streams * sharing >= places
     if view.running_streams >= places and over_part:
         return "batch full"
-    tokens = longest_wait * view.prefill_tokens_per_second
+    tokens = places_part * longest_wait * view.prefill_tokens_per_second
     over_part = not sharing or view.own_prefill_tokens * sharing >= tokens
     if view.queued_prefill_tokens > tokens and over_part:
         return "queue longer than the wait allowed"
