--- a/wisteriagw/measure/_fake_control.py
+++ b/wisteriagw/measure/_fake_control.py
@@ -210,7 +210,6 @@
             for _ in range(order.count):
                 self._order(serves, order.data_centre, order.reclaimable)
         for name in decision.returns:
-            self._enough_since[serves] = now
             self.drain(self.simulation.servers[name], self.take_away)
 
     def _get_limit(self, serves: str) -> int:
--- a/wisteriagw/spending/_planning.py
+++ b/wisteriagw/spending/_planning.py
@@ -18,6 +18,8 @@
 # than one swing of the load.
 HOLD_SECONDS = 60.0
 FORECAST_VALID_SECONDS = 30.0
+# What is given back must not be missed at a load that is a little higher.
+RETURN_MARGIN = 1.08
 # At most this many are given back in one decision, so that each return is seen in the
 # load before the next.
 MAX_RETURNS = 1
@@ -50,7 +52,13 @@
     settled = not orders and all(server.up for server in held)
     returns: tuple[str, ...] = ()
     if settled and now - view.enough_since >= HOLD_SECONDS:
-        returns = list_returns(cheap, dependable, target)
+        kept, _ = choose_target(
+            view.load * RETURN_MARGIN,
+            view.load_once,
+            len(centres),
+            (cheap_price, dependable_price),
+        )
+        returns = list_returns(cheap, dependable, limit_target(kept, view.max_servers))
     reason = f"load {view.load:.2f}, of it {view.load_once:.2f} once only"
     return SpendingDecision(tuple(orders), returns, reason, target, lost)
 
