Place requests of the entry program through the dispatcher

The chat and service resources wait for the dispatcher's decision; refusals say not_run before anything is sent.

--- a/wisteriagw/dispatch/_dispatcher.py
+++ b/wisteriagw/dispatch/_dispatcher.py
@@ -74,6 +74,11 @@
         self._outputs: dict[tuple[str, int], float] = {}
         self._demand = (0.0, 0.0)
 
+    def set_weights(self, weights: Mapping[str, float]) -> None:
+        """Take over the customers' weights; the queues and meters share them."""
+        self.weights.clear()
+        self.weights.update(weights)
+
     def submit(
         self, handle: str, request: RouteRequest, deadline: float, now: float
     ) -> Refusal | None:
--- a/wisteriagw/entry/_chat_resource.py
+++ b/wisteriagw/entry/_chat_resource.py
@@ -12,11 +12,13 @@
 from wisteriagw.backends import StreamPosition
 from wisteriagw.entry._authentication import authenticate
 from wisteriagw.entry._chat_request import parse_chat_request
+from wisteriagw.entry._dispatch_adapter import get_refusal_status
 from wisteriagw.entry._generation_opening import connect_stream
 from wisteriagw.entry._stream_sink import StreamSink
 from wisteriagw.entry._whole_sink import WholeSink
+from wisteriagw.fairness import Refusal
 from wisteriagw.http import read_json_object, write_error
-from wisteriagw.routing import RouteRequest, choose_backend_server, estimate_tokens
+from wisteriagw.routing import RouteRequest, estimate_tokens, hash_blocks
 
 if TYPE_CHECKING:
     from twisted.web.server import Request
@@ -24,6 +26,7 @@
     from wisteriagw.backends import GenerateRequest
     from wisteriagw.entry._chat_request import ChatRequest
     from wisteriagw.entry._entry_context import EntryContext
+    from wisteriagw.routing import RoutingDecision
 
 REQUEST_ID_BYTES = 16
 ATTEMPT_ID_BYTES = 4
@@ -57,18 +60,30 @@
         return NOT_DONE_YET
 
     def _generate(self, request: Request, customer: str, chat: ChatRequest) -> None:
-        context = self._context
         route_request = RouteRequest(
-            customer, chat.model, estimate_tokens(chat.prompt), chat.max_tokens
-        )
-        decision = choose_backend_server(
-            route_request, context.list_views(), context.clock()
+            customer,
+            chat.model,
+            estimate_tokens(chat.prompt),
+            chat.max_tokens,
+            blocks=hash_blocks(customer, chat.adapter, chat.prompt),
         )
-        if decision.chosen is None:
-            message = f"no backend server for model {chat.model!r}"
-            write_error(request, 503, "no_backend_server", message, not_run=True)
-            return
         request_id = secrets.token_hex(REQUEST_ID_BYTES)
+        placed = self._context.dispatch.place(request, request_id, route_request)
+        placed.addCallback(self._send, request, customer, chat, request_id)
+
+    def _send(
+        self,
+        decision: RoutingDecision | Refusal,
+        request: Request,
+        customer: str,
+        chat: ChatRequest,
+        request_id: str,
+    ) -> None:
+        context = self._context
+        if isinstance(decision, Refusal):
+            status = get_refusal_status(decision)
+            write_error(request, status, decision.code, decision.message, not_run=True)
+            return
         attempt = secrets.token_hex(ATTEMPT_ID_BYTES)
         body: GenerateRequest = {
             "request_id": request_id,
@@ -85,7 +100,9 @@
             address, "POST", "/generate", json.dumps(body).encode("utf-8")
         )
         sink_type = StreamSink if chat.stream else WholeSink
-        sink = sink_type(request, request_id, chat.model)
+        sink = context.dispatch.track(
+            sink_type(request, request_id, chat.model), request_id
+        )
         position = StreamPosition(attempt.encode("ascii"), 0)
         handle = f"{decision.chosen}.{request_id}"
         connect_stream(request, opened, sink, position, handle)
--- /dev/null
+++ b/wisteriagw/entry/_dispatch_adapter.py
@@ -0,0 +1,117 @@
+"""Connection of the dispatcher to the entry resources."""
+
+from __future__ import annotations
+
+import secrets
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.defer import Deferred
+
+from wisteriagw.dispatch import Dispatcher
+from wisteriagw.entry._tracked_sink import TrackedSink
+from wisteriagw.fairness import Refusal
+from wisteriagw.routing import LoadTable
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.web.server import Request
+
+    from wisteriagw.entry._entry_context import EntryContext
+    from wisteriagw.routing import RouteRequest, RoutingDecision
+
+FIRST_TOKEN_SECONDS = 1.6
+# A prompt that takes longer by itself than the target allows is served all the same:
+# only its wait is limited. This is the slowest rate that is counted on.
+SLOWEST_PREFILL_TOKENS_PER_SECOND = 5000.0
+PUMP_SECONDS = 0.05
+REFUSAL_STATUS = {"overloaded": 429}
+UNAVAILABLE = 503
+
+
+class DispatchAdapter:
+    """Places requests of callers, and reports to the dispatcher what came of them.
+
+    Parameters
+    ----------
+    context : EntryContext
+        Configuration, backend servers and clock.
+    call_later : callable
+        The reactor's ``callLater``.
+    """
+
+    def __init__(self, context: EntryContext, call_later: Callable[..., Any]) -> None:
+        self._context = context
+        self._call_later = call_later
+        table = LoadTable({})
+        self.dispatcher = Dispatcher(table, {}, secrets.randbelow)
+        self._waiting: dict[str, Deferred[RoutingDecision | Refusal]] = {}
+        self._revision: int | None = None
+        self._pump_due = False
+
+    def place(
+        self, request: Request, handle: str, route_request: RouteRequest
+    ) -> Deferred[RoutingDecision | Refusal]:
+        """Return the decision for a request, once it is dispatched or refused.
+
+        The request's end, whichever way it comes, ends its account. If the caller goes
+        while the request waits, the result never fires.
+        """
+        self._refresh()
+        now = self._context.clock()
+        prefill = route_request.prompt_tokens / SLOWEST_PREFILL_TOKENS_PER_SECOND
+        deadline = now + FIRST_TOKEN_SECONDS + prefill
+        result: Deferred[RoutingDecision | Refusal] = Deferred()
+        self._waiting[handle] = result
+        request.notifyFinish().addBoth(self._end, handle)
+        refusal = self.dispatcher.submit(handle, route_request, deadline, now)
+        if refusal is not None:
+            self._resolve(handle, refusal)
+            return result
+        self._pump()
+        return result
+
+    def track(self, sink: Any, handle: str) -> TrackedSink:
+        """Return a sink that reports the progress of a stream to the dispatcher."""
+        return TrackedSink(sink, self.dispatcher, handle, self._context.clock)
+
+    def _refresh(self) -> None:
+        config = self._context.config
+        if config.revision == self._revision:
+            return
+        self._revision = config.revision
+        self.dispatcher.table.set_servers(self._context.list_views())
+        rows = config.sheet["customers"]
+        self.dispatcher.set_weights({row["name"]: row["weight"] for row in rows})
+
+    def _pump(self) -> None:
+        for result in self.dispatcher.pump(self._context.clock()):
+            outcome = result if isinstance(result, Refusal) else result.decision
+            self._resolve(result.handle, outcome)
+        if self._waiting and not self._pump_due:
+            self._pump_due = True
+            self._call_later(PUMP_SECONDS, self._pump_again)
+
+    def _pump_again(self) -> None:
+        self._pump_due = False
+        self._refresh()
+        self._pump()
+
+    def _resolve(self, handle: str, outcome: RoutingDecision | Refusal) -> None:
+        result = self._waiting.pop(handle, None)
+        if result is None:
+            # The caller has gone: nothing was sent, so nothing stays in the account.
+            self.dispatcher.note_end(handle, 0, self._context.clock())
+            return
+        result.callback(outcome)
+
+    def _end(self, _: Any, handle: str) -> None:
+        self._waiting.pop(handle, None)
+        self.dispatcher.note_end(handle, 0, self._context.clock())
+        if self._waiting:
+            self._pump()
+
+
+def get_refusal_status(refusal: Refusal) -> int:
+    """Return the HTTP status of a refusal."""
+    return REFUSAL_STATUS.get(refusal.code, UNAVAILABLE)
--- a/wisteriagw/entry/_entry_context.py
+++ b/wisteriagw/entry/_entry_context.py
@@ -14,6 +14,7 @@
     from collections.abc import Callable
 
     from wisteriagw.config import ConfigState, RouteRow
+    from wisteriagw.entry._dispatch_adapter import DispatchAdapter
     from wisteriagw.http import HttpClient
     from wisteriagw.platform import LogClient
 
@@ -36,6 +37,7 @@
         self.log = log
         self.clock = clock
         self.running = running
+        self.dispatch: DispatchAdapter | None = None
         self.config_follower = StreamFollower(
             log, CONFIG_STREAM, build_empty_config(), apply_record, clock
         )
--- a/wisteriagw/entry/_main.py
+++ b/wisteriagw/entry/_main.py
@@ -14,6 +14,7 @@
 from wisteriagw.clocks import read_boot_time
 from wisteriagw.entry._addresses_resource import AddressesResource
 from wisteriagw.entry._chat_resource import ChatResource
+from wisteriagw.entry._dispatch_adapter import DispatchAdapter
 from wisteriagw.entry._entry_context import EntryContext
 from wisteriagw.entry._health_resource import HealthResource
 from wisteriagw.entry._operators_resource import OperatorsResource
@@ -38,6 +39,7 @@
     client = HttpClient(reactor)
     log = HttpLogClient(client, settings["log"])
     context = EntryContext(settings, client, log, read_boot_time, Counter())
+    context.dispatch = DispatchAdapter(context, reactor.callLater)
     polling = LoopingCall(_poll_config, context)
     polling.start(settings["config-poll-seconds"])
     _listen(settings["listen"], build_caller_root(context))
--- a/wisteriagw/entry/_service_resource.py
+++ b/wisteriagw/entry/_service_resource.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import secrets
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import inlineCallbacks
@@ -9,9 +10,11 @@
 from twisted.web.server import NOT_DONE_YET
 
 from wisteriagw.entry._authentication import authenticate
+from wisteriagw.entry._dispatch_adapter import get_refusal_status
+from wisteriagw.fairness import Refusal
 from wisteriagw.http import write_error
 from wisteriagw.outcomes import Done, MayHaveRun
-from wisteriagw.routing import RouteRequest, choose_backend_server
+from wisteriagw.routing import RouteRequest
 
 if TYPE_CHECKING:
     from collections.abc import Generator
@@ -22,6 +25,7 @@
     from wisteriagw.config import RouteRow
     from wisteriagw.entry._entry_context import EntryContext
 
+HANDLE_BYTES = 8
 SERVICE_TIMEOUT_SECONDS = 30.0
 
 
@@ -60,12 +64,11 @@
         route_request = RouteRequest(
             customer, route["service"], repeatable=route["idempotent"]
         )
-        decision = choose_backend_server(
-            route_request, context.list_views(), context.clock()
-        )
-        if decision.chosen is None:
-            message = f"no backend server for service {route['service']!r}"
-            write_error(request, 503, "no_backend_server", message, not_run=True)
+        handle = secrets.token_hex(HANDLE_BYTES)
+        decision = yield context.dispatch.place(request, handle, route_request)
+        if isinstance(decision, Refusal):
+            status = get_refusal_status(decision)
+            write_error(request, status, decision.code, decision.message, not_run=True)
             return
         request.content.seek(0)
         headers = {
--- a/wisteriagw/fairness/_fair_queue.py
+++ b/wisteriagw/fairness/_fair_queue.py
@@ -24,7 +24,7 @@
     """
 
     def __init__(self, weights: Mapping[str, float]) -> None:
-        self.weights = dict(weights)
+        self.weights = weights
         self.virtual_time = 0.0
         self._times: dict[str, float] = {}
         self._queues: dict[str, deque[QueuedRequest]] = {}
--- a/wisteriagw/fairness/_share_meter.py
+++ b/wisteriagw/fairness/_share_meter.py
@@ -20,7 +20,7 @@
 
     def __init__(self, weights: Mapping[str, float]) -> None:
         self._weights = weights
-        self._total_weight = sum(weights.values())
+        self._total_weight = 0.0
         self._work: dict[str, float] = {}
         self._total = 0.0
         self._at = -math.inf
@@ -47,3 +47,4 @@
         self._at = now
         self._work = {name: kept * work for name, work in self._work.items()}
         self._total = sum(self._work.values())
+        self._total_weight = sum(self._weights.values())
--- a/wisteriagw/measure/_fake_entry.py
+++ b/wisteriagw/measure/_fake_entry.py
@@ -6,13 +6,13 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Any
 
-from wisteriagw.dispatch import Dispatched
 from wisteriagw.fairness import Refusal
 from wisteriagw.measure._answer import Answer
 from wisteriagw.measure._attempt import Attempt
 from wisteriagw.routing import RouteRequest
 
 if TYPE_CHECKING:
+    from wisteriagw.dispatch import Dispatched
     from wisteriagw.measure._offer import Offer
     from wisteriagw.measure._simulation import Simulation
     from wisteriagw.routing import PeerLoad
--- a/wisteriagw/routing/__init__.py
+++ b/wisteriagw/routing/__init__.py
@@ -4,6 +4,7 @@
 
 from wisteriagw.routing._alternative import Alternative
 from wisteriagw.routing._backend_view import BackendView
+from wisteriagw.routing._blocks import hash_blocks
 from wisteriagw.routing._cache_event import CacheEvent
 from wisteriagw.routing._choice import (
     PREFIX_BLOCK_TOKENS,
@@ -37,4 +38,5 @@
     "choose_backend_server",
     "compute_prefill_rate",
     "estimate_tokens",
+    "hash_blocks",
 ]
--- a/wisteriagw/routing/_prefix_index.py
+++ b/wisteriagw/routing/_prefix_index.py
@@ -17,8 +17,8 @@
 class PrefixIndex:
     """Engines that hold each block, by the block's cumulative hash.
 
-    Events come late and with gaps, so the index is a hint: a wrong entry costs a prefill
-    and never an answer. Blocks are dropped in order of their last use.
+    Events come late and with gaps, so the index is a hint: a wrong entry costs a
+    prefill and never an answer. Blocks are dropped in order of their last use.
     """
 
     def __init__(self) -> None:
