--- a/wisteriagw/routing/_backend_view.py
+++ b/wisteriagw/routing/_backend_view.py
@@ -8,6 +8,8 @@
 class BackendView(NamedTuple):
     """A backend server as the routing decision sees it.
 
+    The estimated load comes last: ``LoadTable`` appends it to the rest.
+
     Attributes
     ----------
     name, data_centre, serves, role : str
@@ -42,13 +44,13 @@
     role: str = "mixed"
     reclaimable: bool = False
     leaving: bool = False
-    queued_prefill_tokens: float = 0
-    running_streams: float = 0
     prefill_tokens_per_second: float = 8000.0
     max_streams: int = 64
     network_seconds: float = 0.0
     loaded: frozenset[str] = frozenset()
     call_seconds: float = 0.0
+    queued_prefill_tokens: float = 0.0
+    running_streams: float = 0.0
     own_prefill_tokens: float = 0.0
     own_streams: int = 0
     entry_vms: int = 0
--- a/wisteriagw/routing/_choice.py
+++ b/wisteriagw/routing/_choice.py
@@ -25,6 +25,7 @@
 # the places of prefill engines.
 LONG_PROMPT_TOKENS = 2000
 SHORT_PROMPT_PART = 0.5
+INFINITY = float("inf")
 TOO_LATE = "too late for the deadline"
 NO_CACHED_BLOCKS: Mapping[str, int] = {}
 
@@ -34,8 +35,8 @@
     views: Iterable[BackendView],
     now: float,
     cached_blocks: Mapping[str, int] = NO_CACHED_BLOCKS,
-    longest_wait: float = float("inf"),
-    seconds_left: float = float("inf"),
+    longest_wait: float = INFINITY,
+    seconds_left: float = INFINITY,
     reserved: float = 0.0,
     places_part: float = 1.0,
 ) -> RoutingDecision:
@@ -64,31 +65,30 @@
     best: BackendView | None = None
     best_seconds = seconds_left
     busy = ""
-    weighed: list[tuple[BackendView, float, str]] = []
+    weighed: list[tuple[str, float, str]] = []
     for view in views:
         reason = find_exclusion(request, view)
         if reason:
-            weighed.append((view, float("inf"), reason))
+            weighed.append((view.name, INFINITY, reason))
             continue
         blocks = cached_blocks.get(view.name, 0)
         seconds = estimate_first_token_seconds(request, view, blocks)
         if seconds > seconds_left:
-            weighed.append((view, seconds, TOO_LATE))
+            weighed.append((view.name, seconds, TOO_LATE))
             continue
         reason = find_congestion(request, view, longest_wait, reserved, places_part)
         if reason:
             busy = reason
-            weighed.append((view, seconds, reason))
+            weighed.append((view.name, seconds, reason))
             continue
-        weighed.append((view, seconds, "slower"))
+        weighed.append((view.name, seconds, "slower"))
         if best is None or seconds < best_seconds:
             best, best_seconds = view, seconds
-    alternatives = tuple(
-        Alternative(view.name, seconds, "" if view is best else reason)
-        for view, seconds, reason in weighed
-    )
     if best is None:
-        return RoutingDecision(None, alternatives, busy)
+        return RoutingDecision(None, tuple(map(Alternative._make, weighed)), busy)
+    place = [name for name, _, _ in weighed].index(best.name)
+    weighed[place] = (best.name, best_seconds, "")
+    alternatives = tuple(map(Alternative._make, weighed))
     return RoutingDecision(best.name, alternatives, "", best_seconds)
 
 
@@ -113,7 +113,7 @@
     places_part: float = 1.0,
 ) -> str:
     """Return why a backend server gets nothing at the moment, or an empty text."""
-    if longest_wait == float("inf"):
+    if longest_wait == INFINITY:
         return ""
     places = view.max_streams * places_part
     if reserved and request.repeatable and not view.reclaimable:
@@ -139,8 +139,10 @@
     request: RouteRequest, view: BackendView, cached_blocks: int = 0
 ) -> float:
     """Return the estimated time to the first token on a backend server."""
-    uncached = max(0, request.prompt_tokens - cached_blocks * PREFIX_BLOCK_TOKENS)
-    tokens = view.queued_prefill_tokens + uncached
+    tokens = view.queued_prefill_tokens
+    uncached = request.prompt_tokens - cached_blocks * PREFIX_BLOCK_TOKENS
+    if uncached > 0:
+        tokens += uncached
     fill = view.running_streams / view.max_streams
     seconds = (
         2 * view.network_seconds
--- a/wisteriagw/routing/_load_table.py
+++ b/wisteriagw/routing/_load_table.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
+from wisteriagw.routing._backend_view import BackendView
 from wisteriagw.routing._server_load import PEERS_VALID_SECONDS, ServerLoad
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
 
-    from wisteriagw.routing._backend_view import BackendView
     from wisteriagw.routing._load_report import LoadReport
     from wisteriagw.routing._peer_load import PeerLoad
     from wisteriagw.routing._role_profile import RoleProfile
@@ -18,6 +18,7 @@
 # With up to this many servers all are scored; beyond it the candidates are sampled.
 SCORE_ALL = 16
 SAMPLES = 6
+STATIC_FIELDS = BackendView._fields.index("queued_prefill_tokens")
 
 
 class LoadTable:
@@ -28,11 +29,16 @@
         self.views: dict[str, BackendView] = {}
         self.loads: dict[str, ServerLoad] = {}
         self._names: dict[str, list[str]] = {}
+        # Views without the estimated load: replacing fields costs several times more.
+        self._statics: dict[str, tuple[Any, ...]] = {}
         self._peers: dict[str, tuple[float, PeerLoad]] = {}
 
     def set_servers(self, views: Iterable[BackendView]) -> None:
         """Take over the backend servers; the accounts of known ones are kept."""
-        self.views = {view.name: self._apply_profile(view) for view in views}
+        self.views = {}
+        self._statics = {}
+        for view in views:
+            self.replace_view(view)
         self._names = {}
         for view in self.views.values():
             self.loads.setdefault(view.name, ServerLoad())
@@ -40,7 +46,9 @@
 
     def replace_view(self, view: BackendView) -> None:
         """Take over a change of a known backend server."""
-        self.views[view.name] = self._apply_profile(view)
+        view = self._apply_profile(view)
+        self.views[view.name] = view
+        self._statics[view.name] = view[:STATIC_FIELDS]
 
     def apply_report(self, report: LoadReport) -> None:
         """Take in a load report."""
@@ -100,20 +108,10 @@
             for _ in range(SAMPLES):
                 chosen[names[draw(len(names))]] = None
             names = list(chosen)
+        statics, loads, make = self._statics, self.loads, BackendView._make
         views = []
         for name in names:
-            load = self.loads[name]
-            tokens, streams = load.estimate(now)
-            view = self.views[name]
-            views.append(
-                view._replace(
-                    queued_prefill_tokens=tokens,
-                    running_streams=streams,
-                    own_prefill_tokens=load.own_tokens,
-                    own_streams=load.own_streams,
-                    entry_vms=load.count_entry_vms(now),
-                )
-            )
+            views.append(make(statics[name] + loads[name].estimate(now)))
         return views
 
     def _apply_profile(self, view: BackendView) -> BackendView:
--- a/wisteriagw/routing/_server_load.py
+++ b/wisteriagw/routing/_server_load.py
@@ -93,24 +93,28 @@
         self._peers = peers
         self._sent_tokens = self._sent_streams = 0.0
 
-    def count_entry_vms(self, now: float) -> int:
-        """Return the entry VMs whose work is known here, 0 without heartbeats."""
-        return self._peers + 1 if now - self._peers_at <= PEERS_VALID_SECONDS else 0
+    def estimate(self, now: float) -> tuple[float, float, float, int, int]:
+        """Return the last fields of a ``BackendView``.
 
-    def estimate(self, now: float) -> tuple[float, float]:
-        """Return the estimated queued tokens and streams of all entry VMs."""
+        These are the estimated queued tokens and streams of all entry VMs, the own part
+        of both, and the number of entry VMs whose work is known (0 without heartbeats).
+        """
+        own_tokens, own_streams = self.own_tokens, self.own_streams
         if now - self._peers_at <= PEERS_VALID_SECONDS:
             factor = HERD * self._peers
             return (
-                self.own_tokens + self._peers_tokens + factor * self._sent_tokens,
-                self.own_streams + self._peers_streams + factor * self._sent_streams,
+                own_tokens + self._peers_tokens + factor * self._sent_tokens,
+                own_streams + self._peers_streams + factor * self._sent_streams,
+                own_tokens,
+                own_streams,
+                self._peers + 1,
             )
         age = now - self.as_of
         if age > REPORT_VALID_SECONDS:
-            return self.own_tokens, float(self.own_streams)
+            return own_tokens, own_streams, own_tokens, own_streams, 0
         kept = math.exp(-age / OTHERS_SECONDS)
         tokens = self._mean_tokens + kept * (self._others_tokens - self._mean_tokens)
         streams = self._mean_streams + kept * (
             self._others_streams - self._mean_streams
         )
-        return self.own_tokens + tokens, self.own_streams + streams
+        return own_tokens + tokens, own_streams + streams, own_tokens, own_streams, 0
