--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -23,7 +23,8 @@
 def run(scenario: Scenario, policy: str = "wisteriagw", deployment=SMALL):
     """Return the figures of a short scenario."""
     simulation = Simulation(scenario, POLICIES[policy], deployment, 1)
-    return evaluate(simulation, simulation.run())
+    simulation.run()
+    return evaluate(simulation)
 
 
 class TestRepeatability:
@@ -39,6 +40,18 @@
         assert lines[0] == lines[1]
 
 
+class TestReport:
+    """Guards against a page that lacks the plots."""
+
+    def test_page_and_plots_are_written(self, tmp_path, capsys) -> None:
+        pytest.importorskip("matplotlib")
+        arguments = ["steady", "--workers", "2", "--entries", "2", "--load", "0.1"]
+        main([*arguments, "--report", str(tmp_path)])
+        page = (tmp_path / "index.html").read_text(encoding="utf-8")
+        assert "goodput" in page
+        assert (tmp_path / "plots.png").stat().st_size > 10_000
+
+
 class TestFigures:
     """Guards against a tool that counts bad answers as good."""
 
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -39,6 +39,7 @@
             (build_view(PREFILL_HEAVY, last_change_at=90.0), None),
             (build_view(PREFILL_HEAVY, last_change_at=80.0, last_role="decode"), None),
             (build_view(DECODE_HEAVY, prefill=1), None),
+            (build_view(DECODE_HEAVY, prefill=0), ("e5", "prefill")),
             (build_view(PREFILL_HEAVY, prefill=5), None),
             (build_view(PREFILL_HEAVY._replace(at=70.0)), None),
             (build_view(PREFILL_HEAVY, prefill=0, count=1), None),
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -158,6 +158,18 @@
             *("e1", "e0", "e7", "e14", "e21", "e28", "e35")
         ]
 
+    def test_sample_holds_no_leaving_server_and_all_dependable_ones_count(self) -> None:
+        table = LoadTable({})
+        table.set_servers(
+            BASE._replace(name=f"e{i}", leaving=i % 2 == 1, reclaimable=i > 2)
+            for i in range(100)
+        )
+        views = table.list_candidates(REQUEST, (), lambda bound: bound - 1, 0.0)
+        assert [view.name for view in views] == ["e98"]
+        once = REQUEST._replace(repeatable=False)
+        views = table.list_candidates(once, (), lambda bound: bound - 1, 0.0)
+        assert [view.name for view in views] == ["e0", "e2"]
+
 
 class TestPrefixIndex:
     """Guards against a wrong holder after late, lost or repeated cache events."""
--- a/wisteriagw/dispatch/_dispatcher.py
+++ b/wisteriagw/dispatch/_dispatcher.py
@@ -109,8 +109,9 @@
         running = self._running.get(handle)
         if running is None or not running.waiting_tokens:
             return
-        load = self.table.loads[running.backend_server]
-        load.change(-running.waiting_tokens, 0, now)
+        load = self.table.loads.get(running.backend_server)
+        if load is not None:
+            load.change(-running.waiting_tokens, 0, now)
         self._running[handle] = running._replace(waiting_tokens=0.0)
 
     def note_end(self, handle: str, generated_tokens: int, now: float) -> None:
@@ -118,8 +119,9 @@
         running = self._running.pop(handle, None)
         if running is None:
             return
-        load = self.table.loads[running.backend_server]
-        load.change(-running.waiting_tokens, -1, now)
+        load = self.table.loads.get(running.backend_server)
+        if load is not None:
+            load.change(-running.waiting_tokens, -1, now)
         if not running.prefill_tokens:
             return
         work = compute_work(self.cost, running.prefill_tokens, generated_tokens)
--- a/wisteriagw/measure/_evaluation.py
+++ b/wisteriagw/measure/_evaluation.py
@@ -19,6 +19,7 @@
 TOKEN_SECONDS = 0.03
 STALL_SECONDS = 2.0
 WINDOW_SECONDS = 5
+SHARE_SECONDS = 30.0
 
 
 def is_good(answer: Answer, client_seconds: float) -> bool:
@@ -68,6 +69,27 @@
     return shares
 
 
+def find_within_share(
+    answers: list[Answer], weights: dict[str, float], capacity: float
+) -> set[tuple[str, int]]:
+    """Return the customers within their share of the capacity, by window.
+
+    The windows are short, so that a flood of minutes does not pass for a customer
+    within its share because the rest of the day is calm.
+    """
+    offered: dict[tuple[str, int], float] = {}
+    for answer in answers:
+        if answer.offer.serves == "model":
+            place = (answer.offer.customer, int(answer.offer.at // SHARE_SECONDS))
+            offered[place] = offered.get(place, 0.0) + compute_offered_work(answer)
+    total_weight = sum(weights.values())
+    return {
+        (name, window)
+        for (name, window), work in offered.items()
+        if work <= capacity * SHARE_SECONDS * weights[name] / total_weight
+    }
+
+
 def evaluate_customers(
     answers: list[Answer], weights: dict[str, float], capacity: float, client: float
 ) -> tuple[float, float]:
@@ -76,22 +98,18 @@
     received = dict.fromkeys(weights, 0.0)
     good: Counter[str] = Counter()
     count: Counter[str] = Counter()
+    within = find_within_share(answers, weights, capacity)
     for answer in answers:
         name = answer.offer.customer
-        count[name] += 1
-        good[name] += is_good(answer, client)
+        if (name, int(answer.offer.at // SHARE_SECONDS)) in within:
+            count[name] += 1
+            good[name] += is_good(answer, client)
         if answer.offer.serves != "model":
             continue
         work = compute_offered_work(answer)
         offered[name] += work
         received[name] += work if answer.ended_at is not None else 0.0
-    total_weight = sum(weights.values())
-    within = [
-        name
-        for name in weights
-        if offered[name] <= capacity * weights[name] / total_weight and count[name]
-    ]
-    worst = min((good[name] / count[name] for name in within), default=1.0)
+    worst = min((good[name] / count[name] for name in count), default=1.0)
     shares = share_fairly(offered, weights, sum(received.values()))
     ratios = [received[name] / shares[name] for name in weights if shares[name] > 0]
     return worst, min(ratios, default=1.0)
@@ -139,12 +157,12 @@
     return worst
 
 
-def evaluate(simulation: Simulation, length: float) -> Figures:
+def evaluate(simulation: Simulation) -> Figures:
     """Return the figures of a finished run."""
     answers = simulation.answers
     deployment = simulation.deployment
     client = deployment.client_seconds
-    capacity = deployment.workers * CAPACITY * length
+    capacity = deployment.workers * CAPACITY
     worst, share = evaluate_customers(
         answers, build_weights(deployment), capacity, client
     )
--- a/wisteriagw/measure/_fake_control.py
+++ b/wisteriagw/measure/_fake_control.py
@@ -81,6 +81,7 @@
         server.up = False
         for attempt, tokens in server.remove_all():
             attempt.owner.hear_cut(attempt, tokens)
+        self.simulation.gone.add(server.name)
         self.simulation.account.end(server.name, self.events.now)
         self.simulation.tell_view(server)
 
--- a/wisteriagw/measure/_main.py
+++ b/wisteriagw/measure/_main.py
@@ -43,8 +43,8 @@
     scenario = build_scenario(options.scenario, options.load)
     policy = POLICIES[options.policy]
     simulation = Simulation(scenario, policy, deployment, options.seed)
-    length = simulation.run()
-    figures = evaluate(simulation, length)
+    simulation.run()
+    figures = evaluate(simulation)
     figures["scenario"] = options.scenario
     figures["deployment"] = options.deployment
     figures["seed"] = options.seed
--- a/wisteriagw/measure/_simulation.py
+++ b/wisteriagw/measure/_simulation.py
@@ -57,6 +57,7 @@
         self.answers: list[Answer] = []
         self.account = FleetAccount()
         self.lost_reports: set[str] = set()
+        self.gone: set[str] = set()
         self.extra_report_lag = 0.0
         self.cheap_gone: dict[str, float] = {}
         self.cheap_work = self.repeatable_work = 0.0
@@ -67,8 +68,8 @@
         for at, fault in scenario.faults:
             self.events.add(at, inject_fault, fault, self)
 
-    def run(self) -> float:
-        """Run the scenario to its end and return its length in seconds."""
+    def run(self) -> None:
+        """Run the scenario to its end."""
         length = sum(phase.seconds for phase in self.scenario.phases)
         self.offers = build_offers(self.scenario.phases, self.deployment, self.rng)
         for offer in self.offers:
@@ -78,7 +79,6 @@
         self.account.close(length)
         self.control.stopped = True
         self.events.run(length + DRAIN_AFTER_SECONDS)
-        return length
 
     def add_server(self, server: Any) -> None:
         """Connect a server to everything else."""
@@ -159,10 +159,11 @@
 
     def _apply_view(self, entry: FakeEntry, view: BackendView) -> None:
         table = entry.dispatcher.table
-        if view.name in table.views:
-            table.replace_view(view)
+        if view.name in self.gone:
+            table.remove_server(view.name)
             return
-        table.set_servers([*table.views.values(), view])
+        if view == self.build_view(self.servers[view.name]):
+            table.replace_view(view)
 
     def _report(self, server: Any) -> None:
         self.events.add(REPORT_SECONDS, self._report, server)
--- a/wisteriagw/roles/_planning.py
+++ b/wisteriagw/roles/_planning.py
@@ -23,6 +23,8 @@
 COMFORTABLE_LOAD = 0.7
 # Gain, in the unit of ``estimate_strain`` times seconds, that noise does not reach.
 MIN_NET_GAIN = 0.3
+# Long prompts are too slow on decode engines, whatever the load.
+MIN_ENGINES_FOR_PREFILL = 3
 SECONDS_BETWEEN_TOKENS = 0.03
 DEMAND_VALID_SECONDS = 20.0
 # After several changes the mix is swinging, and a gain lasts less than the horizon.
@@ -38,6 +40,9 @@
     ready = [engine for engine in view.engines if engine.available]
     count = len(ready)
     prefill = sum(1 for engine in ready if engine.role == "prefill")
+    if prefill == 0 and count >= MIN_ENGINES_FOR_PREFILL:
+        change = RoleChange(pick_engine(ready, "prefill").name, "prefill")
+        return RolesDecision((change,), "no engine is left for long prompts")
     strain = estimate_strain(view, prefill, count)
     best: RoleAlternative | None = None
     alternatives = []
--- a/wisteriagw/routing/_load_table.py
+++ b/wisteriagw/routing/_load_table.py
@@ -28,7 +28,10 @@
         self.profiles = profiles
         self.views: dict[str, BackendView] = {}
         self.loads: dict[str, ServerLoad] = {}
-        self._names: dict[str, list[str]] = {}
+        # Names by model or service, and by whether the work may be cut: a sample must
+        # not miss the few dependable servers, and never holds leaving ones.
+        self._names: dict[tuple[str, bool], list[str]] = {}
+        self._live = 0
         # Views without the estimated load: replacing fields costs several times more.
         self._statics: dict[str, tuple[Any, ...]] = {}
         self._peers: dict[str, tuple[float, PeerLoad]] = {}
@@ -38,17 +41,36 @@
         self.views = {}
         self._statics = {}
         for view in views:
-            self.replace_view(view)
-        self._names = {}
-        for view in self.views.values():
-            self.loads.setdefault(view.name, ServerLoad())
-            self._names.setdefault(view.serves, []).append(view.name)
+            self._set_view(view)
+        self._index()
 
     def replace_view(self, view: BackendView) -> None:
-        """Take over a change of a known backend server."""
+        """Take over a new backend server or a change of a known one."""
+        self._set_view(view)
+        self._index()
+
+    def remove_server(self, name: str) -> None:
+        """Forget a backend server that is gone."""
+        self.views.pop(name, None)
+        self.loads.pop(name, None)
+        self._statics.pop(name, None)
+        self._index()
+
+    def _set_view(self, view: BackendView) -> None:
         view = self._apply_profile(view)
         self.views[view.name] = view
         self._statics[view.name] = view[:STATIC_FIELDS]
+        if view.name not in self.loads:
+            self.loads[view.name] = ServerLoad()
+
+    def _index(self) -> None:
+        self._names = {}
+        live = [view for view in self.views.values() if not view.leaving]
+        self._live = len(live)
+        for view in live if self._live > SCORE_ALL else self.views.values():
+            self._names.setdefault((view.serves, True), []).append(view.name)
+            if not view.reclaimable or self._live <= SCORE_ALL:
+                self._names.setdefault((view.serves, False), []).append(view.name)
 
     def apply_report(self, report: LoadReport) -> None:
         """Take in a load report."""
@@ -58,7 +80,7 @@
 
     def apply_peer(self, peer: PeerLoad, now: float) -> None:
         """Take in what another entry VM has outstanding; silent ones are dropped."""
-        if len(self.views) > SCORE_ALL:
+        if self._live > SCORE_ALL:
             return
         self._peers[peer.vm] = (now, peer)
         for vm, (heard_at, _) in list(self._peers.items()):
@@ -102,7 +124,7 @@
         now : float
             Time in seconds.
         """
-        names = self._names.get(request.serves, [])
+        names = self._names.get((request.serves, request.repeatable), [])
         if len(names) > SCORE_ALL:
             chosen = dict.fromkeys(name for name in holders if name in self.views)
             for _ in range(SAMPLES):
