--- a/tests/support/_loopback_fleet.py
+++ b/tests/support/_loopback_fleet.py
@@ -16,6 +16,7 @@
 from wisteriagw.calls import CallGuard, LocalBatcher
 from wisteriagw.clocks import read_boot_time, read_wall_time
 from wisteriagw.config import hash_key
+from wisteriagw.entry._dispatch_adapter import DispatchAdapter
 from wisteriagw.entry._entry_context import EntryContext
 from wisteriagw.entry._main import build_caller_root
 from wisteriagw.http import BoundedRequest, HttpClient
@@ -103,6 +104,7 @@
                 "vm-1", self.log, reactor, read_boot_time, read_wall_time
             )
             context.call_guard = CallGuard(batcher, read_boot_time)
+            context.dispatch = DispatchAdapter(context, reactor.callLater)
             context.config_follower.poll()
             self.contexts.append(context)
             site = Site(build_caller_root(context), requestFactory=BoundedRequest)
--- a/wisteriagw/entry/_entry_context.py
+++ b/wisteriagw/entry/_entry_context.py
@@ -43,6 +43,7 @@
 
     from wisteriagw.calls import CallGuard
     from wisteriagw.config import ConfigState, RouteRow
+    from wisteriagw.entry._dispatch_adapter import DispatchAdapter
     from wisteriagw.http import HttpClient
     from wisteriagw.membership import Acceptance, Confirmation
     from wisteriagw.mesh import Mesh
@@ -80,6 +81,7 @@
         self._accepted_revision = -1
         self._accepted_at = 0.0
         self.shutdown = Shutdown(client.reactor, settings["drain-seconds"])
+        self.dispatch: DispatchAdapter | None = None
         self.config_follower = StreamFollower(
             log,
             CONFIG_STREAM,
--- a/wisteriagw/entry/_generation_relay.py
+++ b/wisteriagw/entry/_generation_relay.py
@@ -14,8 +14,9 @@
 from wisteriagw.entry._event_reader import EventReader
 from wisteriagw.entry._generation_text import join_tokens
 from wisteriagw.entry._service_call import describe_outcome
+from wisteriagw.fairness import Refusal
 from wisteriagw.http import BodyCollector, classify_loss, read_refusal
-from wisteriagw.outcomes import Done, FailedNotRun, MayHaveRun
+from wisteriagw.outcomes import Done, FailedNotRun, MayHaveRun, RefusedNotRun
 from wisteriagw.retries import (
     Attempts,
     StreamLoss,
@@ -23,7 +24,7 @@
     decide_stream_step,
     record_attempt,
 )
-from wisteriagw.routing import RouteRequest, choose_backend_server, estimate_tokens
+from wisteriagw.routing import RouteRequest, estimate_tokens, hash_blocks
 
 if TYPE_CHECKING:
     from collections.abc import Generator
@@ -35,6 +36,7 @@
     from wisteriagw.entry._entry_context import EntryContext
     from wisteriagw.entry._generation_plan import GenerationPlan
     from wisteriagw.outcomes import Outcome
+    from wisteriagw.routing import RoutingDecision
 
 logger = logging.getLogger(__name__)
 
@@ -88,6 +90,7 @@
         self._sink = sink
         self._plan = plan
         self._backend_server = ""
+        self._handle = ""
         context.running[""] += 1
         self._position = StreamPosition(b"", 0)
         self._reader: EventReader | None = None
@@ -120,14 +123,29 @@
             estimate_tokens(prompt),
             plan.chat.max_tokens,
             excluded=self._attempts.excluded,
+            blocks=hash_blocks(plan.customer, plan.chat.adapter, prompt),
+            adapter=plan.chat.adapter,
         )
-        context = self._context
-        decision = choose_backend_server(
-            route_request, context.list_views(), context.clock()
+        self._handle = secrets.token_hex(ATTEMPT_ID_BYTES)
+        placed = self._context.dispatch.place(
+            self._request, self._handle, route_request
         )
-        if decision.chosen is None:
-            message = f"no backend server for model {plan.chat.model!r}"
-            self._refuse(self._last_outcome or FailedNotRun(message))
+        placed.addCallback(self._send, route_request, prompt)
+
+    def _send(
+        self,
+        decision: RoutingDecision | Refusal,
+        route_request: RouteRequest,
+        prompt: str,
+    ) -> None:
+        context, plan = self._context, self._plan
+        context.explain(plan.request_id, plan.customer, route_request, decision)
+        if self._over:
+            context.dispatch.note_end(self._handle, 0)
+            return
+        if isinstance(decision, Refusal):
+            refusal = RefusedNotRun(decision.code, decision.message)
+            self._refuse(self._last_outcome or refusal)
             return
         self._set_place(decision.chosen, self._position.next_index)
         body: GenerateRequest = {
@@ -164,6 +182,8 @@
             self._stop_timer()
         self._resumes_left = MAX_RESUMES
         self._progressed = True
+        if not self._kept:
+            self._context.dispatch.note_first_token(self._handle)
         if len(self._kept) <= MAX_KEPT_EVENTS:
             self._kept.extend(events)
         self._sink.write_tokens(events)
@@ -290,6 +310,7 @@
             self._refuse(outcome)
             return
         self._send_cancel()
+        self._context.dispatch.note_end(self._handle, self._position.next_index)
         if step is StreamStep.RESTART:
             self._kept.clear()
             self._sink.reset()
@@ -341,6 +362,7 @@
 
     def _close(self) -> None:
         self._over = True
+        self._context.dispatch.note_end(self._handle, self._position.next_index)
         self._stall_timer.cancel()
         self._context.running[self._backend_server] -= 1
         if self._timer is not None:
--- a/wisteriagw/entry/_main.py
+++ b/wisteriagw/entry/_main.py
@@ -19,6 +19,7 @@
 from wisteriagw.entry._addresses_resource import AddressesResource
 from wisteriagw.entry._caller_root import CallerRoot
 from wisteriagw.entry._chat_resource import ChatResource
+from wisteriagw.entry._dispatch_adapter import DispatchAdapter
 from wisteriagw.entry._entry_context import EntryContext
 from wisteriagw.entry._health_resource import HealthResource
 from wisteriagw.entry._membership_wiring import start_membership
@@ -56,6 +57,7 @@
     )
     batcher = LocalBatcher(settings["vm"], log, reactor, read_boot_time, read_wall_time)
     context.call_guard = CallGuard(batcher, read_boot_time)
+    context.dispatch = DispatchAdapter(context, reactor.callLater)
     polling = LoopingCall(_poll_config, context)
     polling.start(settings["config-poll-seconds"])
     start_membership(context, reactor)
--- a/wisteriagw/entry/_result_answers.py
+++ b/wisteriagw/entry/_result_answers.py
@@ -16,7 +16,7 @@
 from wisteriagw.http import write_error
 from wisteriagw.outcomes import Done, FailedNotRun, MayHaveRun, RefusedNotRun
 
-REFUSAL_STATUSES = {"deadline": 504, "overloaded": 503}
+REFUSAL_STATUSES = {"deadline": 504, "overloaded": 503, "no_backend_server": 503}
 
 
 @singledispatch
--- a/wisteriagw/entry/_service_call.py
+++ b/wisteriagw/entry/_service_call.py
@@ -2,22 +2,28 @@
 
 from __future__ import annotations
 
+import secrets
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import inlineCallbacks
 
-from wisteriagw.outcomes import Done, FailedNotRun, MayHaveRun, RefusedNotRun
+from wisteriagw.fairness import Refusal
+from wisteriagw.outcomes import Done, MayHaveRun, RefusedNotRun
 from wisteriagw.retries import Attempts, record_attempt
-from wisteriagw.routing import RouteRequest, choose_backend_server
+from wisteriagw.routing import RouteRequest
 
 if TYPE_CHECKING:
     from collections.abc import Generator
 
     from twisted.internet.defer import Deferred
+    from twisted.web.server import Request
 
     from wisteriagw.config import RouteRow
     from wisteriagw.entry._entry_context import EntryContext
     from wisteriagw.outcomes import Outcome
+    from wisteriagw.routing import RoutingDecision
+
+HANDLE_BYTES = 8
 
 
 class ServiceCall:
@@ -27,6 +33,8 @@
     ----------
     context : EntryContext
         Clients and accounting of the process.
+    request : Request
+        Request of the caller.
     route : RouteRow
         Route of the call.
     customer, target : str
@@ -42,6 +50,7 @@
     def __init__(
         self,
         context: EntryContext,
+        request: Request,
         route: RouteRow,
         customer: str,
         target: str,
@@ -50,6 +59,7 @@
         deadline: float,
     ) -> None:
         self._context = context
+        self._request = request
         self._route = route
         self._customer = customer
         self._target = target
@@ -68,9 +78,13 @@
         attempts = Attempts()
         outcome: Outcome | None = None
         while True:
-            chosen = self._choose(attempts.excluded)
-            if chosen is None:
+            handle = secrets.token_hex(HANDLE_BYTES)
+            decision = yield self._place(handle, attempts.excluded)
+            if isinstance(decision, Refusal):
+                refusal = RefusedNotRun(decision.code, decision.message)
+                outcome = outcome or refusal
                 break
+            chosen = decision.chosen
             remaining = self._deadline - context.clock()
             if remaining <= 0:
                 late = "the deadline passed before the call was sent"
@@ -84,29 +98,35 @@
                 headers=self._headers,
                 timeout=remaining,
             )
+            context.dispatch.note_end(handle, 0)
             if isinstance(outcome, Done):
                 return outcome
             attempts = record_attempt(attempts, chosen, outcome)
             decision = context.retries.decide(outcome, idempotent, self._deadline)
             if not decision.retry:
                 break
-        if outcome is None:
-            service = self._route["service"]
-            outcome = FailedNotRun(f"no backend server for service {service!r}")
         if attempts.may_have_run:
             return MayHaveRun(describe_outcome(outcome))
         return outcome
 
-    def _choose(self, excluded: tuple[str, ...]) -> str | None:
-        context = self._context
+    def _place(
+        self, handle: str, excluded: tuple[str, ...]
+    ) -> Deferred[RoutingDecision | Refusal]:
         request = RouteRequest(
             self._customer,
             self._route["service"],
             repeatable=self._route["idempotent"],
             excluded=excluded,
         )
-        views = context.list_views()
-        return choose_backend_server(request, views, context.clock()).chosen
+        placed = self._context.dispatch.place(self._request, handle, request)
+        placed.addCallback(self._explain, handle, request)
+        return placed
+
+    def _explain(
+        self, decision: RoutingDecision | Refusal, handle: str, request: RouteRequest
+    ) -> RoutingDecision | Refusal:
+        self._context.explain(handle, self._customer, request, decision)
+        return decision
 
 
 def describe_outcome(outcome: Any) -> str:
--- a/wisteriagw/entry/_service_resource.py
+++ b/wisteriagw/entry/_service_resource.py
@@ -109,7 +109,14 @@
             deadline = min(deadline, context.clock() + MAX_CLAIM_AGE_SECONDS)
         content_type = request.getHeader("content-type") or ""
         call = ServiceCall(
-            context, route, customer, place.target, body, content_type, deadline
+            context,
+            request,
+            route,
+            customer,
+            place.target,
+            body,
+            content_type,
+            deadline,
         )
         if not claimed:
             result = yield call.run()
