--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -15,7 +15,13 @@
 from wisteriagw.measure._policy import POLICIES
 from wisteriagw.measure._scenario import Scenario
 from wisteriagw.measure._simulation import Simulation
-from wisteriagw.measure.faults import CheapLoss, DrainFault, LogFault, ReportFault
+from wisteriagw.measure.faults import (
+    CheapLoss,
+    DrainFault,
+    LogFault,
+    PartitionFault,
+    ReportFault,
+)
 
 SMALL = DEPLOYMENTS["suva"]._replace(workers=3, entries=4)
 
@@ -88,7 +94,13 @@
 
     @pytest.mark.parametrize(
         "fault",
-        [CheapLoss("dc2"), DrainFault(1), LogFault(20.0), ReportFault(20.0)],
+        [
+            CheapLoss("dc2"),
+            DrainFault(1),
+            LogFault(20.0),
+            PartitionFault("dc1", 20.0),
+            ReportFault(20.0),
+        ],
     )
     def test_fault_harms_nobody(self, fault) -> None:
         scenario = Scenario((Phase(30.0, 0.4),), ((8.0, fault),))
--- a/wisteriagw/measure/_faulting.py
+++ b/wisteriagw/measure/_faulting.py
@@ -5,7 +5,13 @@
 from functools import singledispatch
 from typing import TYPE_CHECKING, Any
 
-from wisteriagw.measure.faults import CheapLoss, DrainFault, LogFault, ReportFault
+from wisteriagw.measure.faults import (
+    CheapLoss,
+    DrainFault,
+    LogFault,
+    PartitionFault,
+    ReportFault,
+)
 
 if TYPE_CHECKING:
     from wisteriagw.measure._simulation import Simulation
@@ -45,6 +51,12 @@
     simulation.control.paused_until = simulation.events.now + fault.seconds
 
 
+@inject_fault.register(PartitionFault)
+def _(fault: PartitionFault, simulation: Simulation) -> None:
+    until = simulation.events.now + fault.seconds
+    simulation.partitions[fault.data_centre] = until
+
+
 @inject_fault.register(ReportFault)
 def _(fault: ReportFault, simulation: Simulation) -> None:
     names = list(simulation.servers)
--- a/wisteriagw/measure/_simulation.py
+++ b/wisteriagw/measure/_simulation.py
@@ -58,6 +58,7 @@
         self.account = FleetAccount()
         self.lost_reports: set[str] = set()
         self.gone: set[str] = set()
+        self.partitions: dict[str, float] = {}
         self.extra_report_lag = 0.0
         self.cheap_gone: dict[str, float] = {}
         self.cheap_work = self.repeatable_work = 0.0
@@ -181,6 +182,14 @@
             if loss >= CACHE_EVENT_LOSS:
                 self.events.add(float(lag), entry.dispatcher.index.apply, event)
 
+    def _is_cut(self, entry: FakeEntry, other: FakeEntry) -> bool:
+        if entry.data_centre == other.data_centre:
+            return False
+        return any(
+            self.partitions.get(place, 0.0) > self.events.now
+            for place in (entry.data_centre, other.data_centre)
+        )
+
     def _beat(self) -> None:
         self.events.add(HEARTBEAT_SECONDS, self._beat)
         for index, entry in enumerate(self.entries):
@@ -188,7 +197,7 @@
             served = entry.dispatcher.take_served_work()
             self.control.hear_demand(entry.dispatcher.take_demand())
             for other in self.entries:
-                if other is not entry:
+                if other is not entry and not self._is_cut(entry, other):
                     delay = self.deployment.data_centre_seconds
                     self.events.add(delay, other.hear_heartbeat, served, peer)
         self.timeline.sample(self)
--- a/wisteriagw/roles/_planning.py
+++ b/wisteriagw/roles/_planning.py
@@ -22,7 +22,7 @@
 # Load above which queues grow faster than the load.
 COMFORTABLE_LOAD = 0.7
 # Gain, in the unit of ``estimate_strain`` times seconds, that noise does not reach.
-MIN_NET_GAIN = 0.3
+MIN_NET_GAIN = 0.8
 # Long prompts are too slow on decode engines, whatever the load.
 MIN_ENGINES_FOR_PREFILL = 3
 SECONDS_BETWEEN_TOKENS = 0.03
