--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -127,6 +127,25 @@
         assert sorted(sent) == ["first", "short"]
 
 
+class TestWeightStore:
+    """Guards against loads beyond the weight store's rate, and loads for nothing."""
+
+    def test_loads_are_spaced_and_a_loaded_adapter_attracts(self) -> None:
+        servers = [MODEL._replace(name=f"e{i}", max_streams=9) for i in range(3)]
+        dispatcher = build(*servers)
+        chosen = []
+        for number, adapter in enumerate(("x", "x", "y", "z", "z")):
+            request = RouteRequest("small", "model", 400, adapter=adapter)
+            dispatcher.submit(str(number), request, 5.0, 0.0)
+            chosen += [result for result in dispatcher.pump(0.0)]
+        servers_of = [
+            result.decision.chosen if isinstance(result, Dispatched) else result.code
+            for result in chosen
+        ]
+        assert servers_of[0] == servers_of[1]
+        assert servers_of[3:] == ["deadline", "deadline"]
+
+
 class TestAccount:
     """Guards against an account that keeps work that has ended."""
 
--- a/wisteriagw/dispatch/_dispatcher.py
+++ b/wisteriagw/dispatch/_dispatcher.py
@@ -21,7 +21,10 @@
     PREFIX_BLOCK_TOKENS,
     TOO_LATE,
     PrefixIndex,
+    WeightBudget,
     choose_backend_server,
+    estimate_load_wait,
+    reserve_load,
 )
 
 if TYPE_CHECKING:
@@ -68,6 +71,7 @@
         # Work charged since the last call of ``take_served_work``, for other entry VMs.
         self._served: dict[str, dict[str, float]] = {}
         self._meters: dict[str, ShareMeter] = {}
+        self._weights_budget = WeightBudget()
         self._draw = draw
         self._queues: dict[tuple[str, bool], FairQueue] = {}
         self._running: dict[str, Running] = {}
@@ -203,6 +207,7 @@
             left,
             RESERVED_PART if (request.serves, False) in self._queues else 0.0,
             OVER_PART if self._is_over(request) else 1.0,
+            estimate_load_wait(self._weights_budget, now) if request.adapter else 0.0,
         )
         self.decision_count += 1
         self.decisions.append((now, request, decision))
@@ -218,6 +223,9 @@
         self._charge(key, request.customer, work - queued.work, now)
         self._note_served(key[0], request.customer, queued.work, now)
         self.table.loads[server].change(tokens, 1, now)
+        if request.adapter and request.adapter not in self.table.views[server].loaded:
+            self._weights_budget = reserve_load(self._weights_budget, now)
+            self.table.note_loaded(server, request.adapter)
         self.index.add(server, request.blocks)
         self._running[queued.handle] = Running(
             server,
--- a/wisteriagw/entry/_chat_resource.py
+++ b/wisteriagw/entry/_chat_resource.py
@@ -66,6 +66,7 @@
             estimate_tokens(chat.prompt),
             chat.max_tokens,
             blocks=hash_blocks(customer, chat.adapter, chat.prompt),
+            adapter=chat.adapter,
         )
         request_id = secrets.token_hex(REQUEST_ID_BYTES)
         placed = self._context.dispatch.place(request, request_id, route_request)
--- a/wisteriagw/entry/_dispatch_adapter.py
+++ b/wisteriagw/entry/_dispatch_adapter.py
@@ -10,7 +10,7 @@
 from wisteriagw.dispatch import Dispatcher
 from wisteriagw.entry._tracked_sink import TrackedSink
 from wisteriagw.fairness import Refusal
-from wisteriagw.routing import LoadTable
+from wisteriagw.routing import LOAD_SECONDS, LoadTable
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -24,6 +24,8 @@
 # A prompt that takes longer by itself than the target allows is served all the same:
 # only its wait is limited. This is the slowest rate that is counted on.
 SLOWEST_PREFILL_TOKENS_PER_SECOND = 5000.0
+# The first request for an adapter has to wait for its load.
+LOAD_ALLOWANCE_SECONDS = 2 * LOAD_SECONDS
 PUMP_SECONDS = 0.05
 REFUSAL_STATUS = {"overloaded": 429}
 UNAVAILABLE = 503
@@ -61,6 +63,8 @@
         now = self._context.clock()
         prefill = route_request.prompt_tokens / SLOWEST_PREFILL_TOKENS_PER_SECOND
         deadline = now + FIRST_TOKEN_SECONDS + prefill
+        if route_request.adapter:
+            deadline += LOAD_ALLOWANCE_SECONDS
         result: Deferred[RoutingDecision | Refusal] = Deferred()
         self._waiting[handle] = result
         request.notifyFinish().addBoth(self._end, handle)
--- a/wisteriagw/routing/__init__.py
+++ b/wisteriagw/routing/__init__.py
@@ -7,6 +7,7 @@
 from wisteriagw.routing._blocks import hash_blocks
 from wisteriagw.routing._cache_event import CacheEvent
 from wisteriagw.routing._choice import (
+    LOAD_SECONDS,
     PREFIX_BLOCK_TOKENS,
     TOO_LATE,
     choose_backend_server,
@@ -20,8 +21,14 @@
 from wisteriagw.routing._routing_decision import RoutingDecision
 from wisteriagw.routing._server_load import ServerLoad
 from wisteriagw.routing._tokens import estimate_tokens
+from wisteriagw.routing._weight_budget import (
+    WeightBudget,
+    estimate_load_wait,
+    reserve_load,
+)
 
 __all__ = [
+    "LOAD_SECONDS",
     "PREFIX_BLOCK_TOKENS",
     "TOO_LATE",
     "Alternative",
@@ -35,8 +42,11 @@
     "RouteRequest",
     "RoutingDecision",
     "ServerLoad",
+    "WeightBudget",
     "choose_backend_server",
     "compute_prefill_rate",
+    "estimate_load_wait",
     "estimate_tokens",
     "hash_blocks",
+    "reserve_load",
 ]
--- a/wisteriagw/routing/_choice.py
+++ b/wisteriagw/routing/_choice.py
@@ -39,6 +39,7 @@
     seconds_left: float = INFINITY,
     reserved: float = 0.0,
     places_part: float = 1.0,
+    load_wait: float = 0.0,
 ) -> RoutingDecision:
     """Return the backend server with the lowest estimated time to the first token.
 
@@ -61,6 +62,8 @@
         Part of a dependable server that is kept from work that may repeat.
     places_part : float
         Part of the places that the customer may fill.
+    load_wait : float
+        Seconds until the weight store may be asked for one more adapter.
     """
     best: BackendView | None = None
     best_seconds = seconds_left
@@ -73,6 +76,8 @@
             continue
         blocks = cached_blocks.get(view.name, 0)
         seconds = estimate_first_token_seconds(request, view, blocks)
+        if request.adapter and request.adapter not in view.loaded:
+            seconds += LOAD_SECONDS + load_wait
         if seconds > seconds_left:
             weighed.append((view.name, seconds, TOO_LATE))
             continue
@@ -152,6 +157,4 @@
     )
     if request.repeatable and not view.reclaimable:
         seconds += DEPENDABLE_SECONDS
-    if request.adapter and request.adapter not in view.loaded:
-        seconds += LOAD_SECONDS
     return seconds
--- a/wisteriagw/routing/_load_table.py
+++ b/wisteriagw/routing/_load_table.py
@@ -32,6 +32,7 @@
         # not miss the few dependable servers, and never holds leaving ones.
         self._names: dict[tuple[str, bool], list[str]] = {}
         self._live = 0
+        self._loaded: dict[str, set[str]] = {}
         # Views without the estimated load: replacing fields costs several times more.
         self._statics: dict[str, tuple[Any, ...]] = {}
         self._peers: dict[str, tuple[float, PeerLoad]] = {}
@@ -53,11 +54,20 @@
         """Forget a backend server that is gone."""
         self.views.pop(name, None)
         self.loads.pop(name, None)
+        self._loaded.pop(name, None)
         self._statics.pop(name, None)
         self._index()
 
+    def note_loaded(self, name: str, adapter: str) -> None:
+        """Record that a server has an adapter, or will once it has loaded it."""
+        self._loaded.setdefault(name, set()).add(adapter)
+        self._set_view(self.views[name])
+
     def _set_view(self, view: BackendView) -> None:
         view = self._apply_profile(view)
+        loaded = self._loaded.get(view.name)
+        if loaded:
+            view = view._replace(loaded=view.loaded | loaded)
         self.views[view.name] = view
         self._statics[view.name] = view[:STATIC_FIELDS]
         if view.name not in self.loads:
