--- a/wisteriagw/routing/_choice.py
+++ b/wisteriagw/routing/_choice.py
@@ -89,6 +89,16 @@
         weighed.append((view.name, seconds, "slower"))
         if best is None or seconds < best_seconds:
             best, best_seconds = view, seconds
+    return build_decision(best, best_seconds, weighed, busy)
+
+
+def build_decision(
+    best: BackendView | None,
+    best_seconds: float,
+    weighed: list[tuple[str, float, str]],
+    busy: str,
+) -> RoutingDecision:
+    """Return the decision with all that was weighed."""
     if best is None:
         return RoutingDecision(None, tuple(map(Alternative._make, weighed)), busy)
     place = [name for name, _, _ in weighed].index(best.name)
