--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	$(BIN)/python tools/write_reference.py
 
 test: setup lint
-	$(BIN)/behave --format progress --no-capture
+	$(BIN)/behave --format plain --no-capture --no-skipped
 	$(BIN)/pytest
 
 demo: setup
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -160,6 +160,11 @@
         calls.call("customers", CREATE)
         _, fleet = calls.call("fleet")
         assert fleet["customers"] == [{"name": "market", "keys": 0}]
+        engine = "engine,e1,,,dc1,127.0.0.1:1,ledger,mixed,,,yes,no,,,,"
+        calls.call("sheets", {"sheet": f"{SHEET}\n{engine}", "operator": "ann"})
+        # A view holds a set, which the JSON encoder does not take.
+        _, fleet = calls.call("fleet")
+        assert [found["name"] for found in fleet["backend_servers"]] == ["e1"]
         status, revision = calls.call("revisions/current")
         assert (status, revision["in_force"], revision["unconfirmed"]) == (
             200,
--- a/wisteriagw/entry/_operators_fleet.py
+++ b/wisteriagw/entry/_operators_fleet.py
@@ -9,6 +9,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
+from wisteriagw.entry._plain_values import to_plain
 from wisteriagw.http import write_json
 
 if TYPE_CHECKING:
@@ -58,6 +59,6 @@
         "customers": [
             {"name": name, "keys": keys[name]} for name in sorted(config.customers)
         ],
-        "backend_servers": [view._asdict() for view in context.list_views()],
+        "backend_servers": to_plain(context.list_views()),
         "findings": [finding._asdict() for finding in follower.findings],
     }
--- a/wisteriagw/entry/_plain_values.py
+++ b/wisteriagw/entry/_plain_values.py
@@ -25,6 +25,11 @@
     return [to_plain(part) for part in value]
 
 
+@to_plain.register
+def _(value: frozenset) -> Any:
+    return sorted(to_plain(part) for part in value)
+
+
 @to_plain.register
 def _(value: dict) -> Any:
     return {str(name): to_plain(part) for name, part in value.items()}
