Count relayed work and copy usage partials to peers

Usage was folded and reported, but no process counted any. A generation that one engine began and ended goes to the aggregate, every other one to its request id. Text that was already generated now travels in its own field, so a continuation elsewhere bills the prompt once; the head of a stream and the reply to /cancel carry figures for streams that are lost or abandoned. The closing event says whether an earlier reader got it: counting every resumable stream by id was weighed and would keep about 40 million ids for an hour at 11,000 requests a second.

Partials are copied every 0.5 s and appended every 2 s. Confirmations are cumulative, so a lost one is made good by the next.

--- a/wisteriagw/backends/__init__.py
+++ b/wisteriagw/backends/__init__.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 from wisteriagw.backends._event_check import (
+    CACHED_TOKENS_HEADER,
     END_PREFIX,
+    FIGURE_NAMES,
+    PROMPT_TOKENS_HEADER,
     SUPERSEDED_PREFIX,
     read_event_index,
     read_stream_end,
@@ -13,7 +16,10 @@
 from wisteriagw.backends._stream_position import StreamPosition
 
 __all__ = [
+    "CACHED_TOKENS_HEADER",
     "END_PREFIX",
+    "FIGURE_NAMES",
+    "PROMPT_TOKENS_HEADER",
     "SUPERSEDED_PREFIX",
     "GenerateRequest",
     "StreamEnd",
--- a/wisteriagw/backends/_event_check.py
+++ b/wisteriagw/backends/_event_check.py
@@ -14,6 +14,11 @@
 END_PREFIX = b"event: end\ndata: "
 SUPERSEDED_PREFIX = b"event: superseded\n"
 MAX_INDEX_DIGITS = 9
+# The head of an engine's stream tells the prompt's figures, so that a generation that
+# is lost with its engine is billed.
+PROMPT_TOKENS_HEADER = b"wisteriagw-prompt-tokens"
+CACHED_TOKENS_HEADER = b"wisteriagw-cached-tokens"
+FIGURE_NAMES = ("prompt_tokens", "cached_tokens", "generated_tokens")
 
 
 def read_event_index(event: bytes, position: StreamPosition) -> int | None:
@@ -40,9 +45,10 @@
         raise ValueError("the closing event is nested too deeply") from error
     if not isinstance(value, dict):
         raise ValueError("the closing event is not a JSON object")
-    for name in ("prompt_tokens", "cached_tokens", "generated_tokens"):
+    for name in FIGURE_NAMES:
         if type(value.get(name)) is not int or value[name] < 0:
             raise ValueError(f"{name} of the closing event is not a count")
+    value["ended_before"] = value.get("ended_before") is True
     if not isinstance(value.get("finish_reason"), str):
         raise ValueError("the closing event has no finish_reason")
     return StreamEnd(**{name: value[name] for name in StreamEnd.__annotations__})
--- a/wisteriagw/backends/_generate_request.py
+++ b/wisteriagw/backends/_generate_request.py
@@ -20,9 +20,12 @@
         Text of the prompt.
     max_tokens, priority : int
         Bound on the output, and the priority among the engine's requests.
+    generated : str
+        Text of the tokens that another engine generated for this request. It follows
+        the prompt in the context, and is not counted among the prompt tokens.
     first_index : int
-        Index of the first token event. It is above 0 when the prompt ends with tokens
-        that another engine generated; ``max_tokens`` counts these too.
+        Number of those tokens, and so the index of the first token event;
+        ``max_tokens`` counts them too.
     """
 
     request_id: str
@@ -33,4 +36,5 @@
     prompt: str
     max_tokens: int
     priority: int
+    generated: str
     first_index: int
--- a/wisteriagw/entry/_entry_context.py
+++ b/wisteriagw/entry/_entry_context.py
@@ -23,6 +23,7 @@
 from wisteriagw.entry._open_streams import OpenStreams
 from wisteriagw.entry._own_state import build_own_state
 from wisteriagw.entry._retry_ledger import RetryLedger
+from wisteriagw.entry._usage_recorder import UsageRecorder
 from wisteriagw.follower import RecordHistory, StreamFollower
 from wisteriagw.membership import (
     PERMIT_SECONDS,
@@ -96,6 +97,9 @@
             self.send_message,
         )
         self.open_streams = OpenStreams()
+        self.usage = UsageRecorder(
+            settings["vm"], read_wall_time, settings.get("usage-window-seconds", 60)
+        )
 
     @property
     def config(self) -> ConfigState:
--- a/wisteriagw/entry/_generation_relay.py
+++ b/wisteriagw/entry/_generation_relay.py
@@ -83,6 +83,7 @@
         self._plan = plan
         self._backend_server = ""
         context.running[""] += 1
+        self._usage = context.usage.track(plan)
         self._position = StreamPosition(b"", 0)
         self._reader: EventReader | None = None
         self._kept: list[bytes] = []
@@ -101,14 +102,14 @@
         """Generate at the backend server that the routing decision gives."""
         plan = self._plan
         try:
-            prompt = plan.chat.prompt + join_tokens(self._kept)
+            generated = join_tokens(self._kept)
         except ValueError as error:
             self._refuse(MayHaveRun(str(error)))
             return
         route_request = RouteRequest(
             plan.customer,
             plan.chat.model,
-            estimate_tokens(prompt),
+            estimate_tokens(plan.chat.prompt + generated),
             plan.chat.max_tokens,
             excluded=self._attempts.excluded,
         )
@@ -127,9 +128,10 @@
             "customer": plan.customer,
             "model": plan.chat.model,
             "adapter": plan.chat.adapter,
-            "prompt": prompt,
+            "prompt": plan.chat.prompt,
             "max_tokens": plan.chat.max_tokens,
             "priority": 0,
+            "generated": generated,
             "first_index": self._position.next_index,
         }
         data = json.dumps(body).encode("utf-8")
@@ -153,6 +155,7 @@
         if self._timer is not None and self._sink.can_resume:
             self._stop_timer()
         self._position = self._reader.position
+        self._usage.next_index = self._position.next_index
         self._resumes_left = MAX_RESUMES
         if len(self._kept) <= MAX_KEPT_EVENTS:
             self._kept.extend(events)
@@ -160,6 +163,7 @@
 
     def finish(self, end: StreamEnd) -> None:
         """End the caller's response as a whole answer."""
+        self._usage.finish(end)
         try:
             self._close()
             self._sink.finish(end)
@@ -212,6 +216,7 @@
             self._go_on(outcome, isinstance(outcome, MayHaveRun))
             return
         if response.code == 200 and not self._over:
+            self._usage.read_head(response.headers)
             self._reader = EventReader(self, self._position)
             response.deliverBody(self._reader)
             if self._paused:
@@ -242,6 +247,7 @@
         self._reader = None
         self._last_outcome = outcome
         if isinstance(outcome, MayHaveRun):
+            self._usage.interrupt()
             self._attempts = self._attempts._replace(may_have_run=True)
         chat = self._plan.chat
         if chat is None:
@@ -315,6 +321,7 @@
 
     def _close(self) -> None:
         self._over = True
+        self._usage.stop()
         self._context.running[self._backend_server] -= 1
         if self._timer is not None:
             self._stop_timer()
@@ -339,7 +346,8 @@
             "attempt": self._position.attempt.decode("ascii"),
         }
         data = json.dumps(body).encode("utf-8")
-        self._context.client.send(address, "POST", "/cancel", data, timeout=2.0)
+        sent = self._context.client.send(address, "POST", "/cancel", data, timeout=2.0)
+        sent.addCallback(self._usage.read_cancel)
 
     def _apply_pause(self) -> None:
         if self._reader is None or self._reader.transport is None:
--- /dev/null
+++ b/wisteriagw/entry/_generation_usage.py
@@ -0,0 +1,109 @@
+"""Account of one generation."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+from wisteriagw.backends import (
+    CACHED_TOKENS_HEADER,
+    FIGURE_NAMES,
+    PROMPT_TOKENS_HEADER,
+)
+from wisteriagw.outcomes import Done
+from wisteriagw.usage import UsageFigures
+
+if TYPE_CHECKING:
+    from twisted.web.http_headers import Headers
+
+    from wisteriagw.backends import StreamEnd
+    from wisteriagw.entry._usage_recorder import UsageRecorder
+
+MAX_DIGITS = 9
+
+
+class GenerationUsage:
+    """What is known of the work for one generation, until it is counted.
+
+    A generation that one engine began and ended for this process is counted in the
+    aggregate, every other one by its request id with the whole figures known: other
+    processes may count it too, and the largest figures per id are what is billed.
+
+    Attributes
+    ----------
+    next_index : int
+        Number of tokens that came, set by the relay.
+    """
+
+    def __init__(
+        self, recorder: UsageRecorder, request_id: str, customer: str, *, resumed: bool
+    ) -> None:
+        self.next_index = 0
+        self._recorder = recorder
+        self._request_id = request_id
+        self._customer = customer
+        self._resumed = resumed
+        self._interrupted = resumed
+        self._generated = 0
+        self._prompt_tokens = 0
+        self._cached_tokens = 0
+        self._over = False
+
+    def read_head(self, headers: Headers) -> None:
+        """Take the figures of the prompt from the head of an engine's stream."""
+        self._prompt_tokens = read_figure(headers, PROMPT_TOKENS_HEADER)
+        self._cached_tokens = read_figure(headers, CACHED_TOKENS_HEADER)
+
+    def interrupt(self) -> None:
+        """Note that the generation went on after a loss."""
+        self._interrupted = True
+        self._generated = max(self._generated, self.next_index)
+
+    def finish(self, end: StreamEnd) -> None:
+        """Count a generation whose engine gave the closing figures."""
+        if self._close() or (self._resumed and end["ended_before"]):
+            # The process that got the closing event has counted it in its aggregate.
+            return
+        self._count(end, self._request_id if self._interrupted else "")
+
+    def stop(self) -> None:
+        """Count what is known of a generation that ends here without its end."""
+        self.interrupt()
+        if self._close() or self._generated == 0:
+            return
+        known = (self._prompt_tokens, self._cached_tokens, self._generated)
+        figures = dict(zip(FIGURE_NAMES, known, strict=True))
+        self._count(figures, self._request_id)
+
+    def read_cancel(self, outcome: Any) -> None:
+        """Count what an engine says of a generation that was cancelled.
+
+        The figures do not count while the generation goes on elsewhere: tokens that
+        came after the loss were never sent to the caller.
+        """
+        if not self._over or not isinstance(outcome, Done):
+            return
+        try:
+            reply = json.loads(outcome.body)
+            figures = {name: int(reply[name]) for name in FIGURE_NAMES}
+        except (KeyError, TypeError, ValueError, RecursionError):
+            # The generation was taken over, or the answer is none of an engine.
+            return
+        if any(figures.values()) and min(figures.values()) >= 0:
+            self._count(figures, self._request_id)
+
+    def _count(self, figures: Any, request_id: str) -> None:
+        values = UsageFigures(*(figures[name] for name in FIGURE_NAMES))
+        self._recorder.count(self._customer, values, request_id)
+
+    def _close(self) -> bool:
+        """Return whether the generation was over already."""
+        was_over, self._over = self._over, True
+        self._recorder.open_generations.discard(self)
+        return was_over
+
+
+def read_figure(headers: Headers, name: bytes) -> int:
+    """Return a count in the head of a response, 0 if there is none."""
+    text = (headers.getRawHeaders(name) or [b"0"])[0]
+    return int(text) if text.isdigit() and len(text) <= MAX_DIGITS else 0
--- a/wisteriagw/entry/_main.py
+++ b/wisteriagw/entry/_main.py
@@ -25,6 +25,7 @@
 from wisteriagw.entry._options import OPTIONS
 from wisteriagw.entry._requests_resource import RequestsResource
 from wisteriagw.entry._service_resource import ServiceResource
+from wisteriagw.entry._usage_wiring import UsageWiring, start_usage
 from wisteriagw.entry._version_resource import VersionResource
 from wisteriagw.findings import format_findings
 from wisteriagw.http import BoundedRequest, HttpClient
@@ -55,7 +56,9 @@
     context.call_guard = CallGuard(batcher, read_boot_time)
     polling = LoopingCall(_poll_config, context)
     polling.start(settings["config-poll-seconds"])
-    start_membership(context, reactor)
+    usage = UsageWiring(context)
+    start_usage(usage, reactor)
+    start_membership(context, reactor, usage)
     _listen(settings["listen"], build_caller_root(context))
     operators = Resource()
     operators.putChild(b"v1", OperatorsResource(context, token))
--- a/wisteriagw/entry/_membership_wiring.py
+++ b/wisteriagw/entry/_membership_wiring.py
@@ -22,6 +22,8 @@
     Heartbeat,
     ProbeReply,
     ProbeRequest,
+    UsageCopy,
+    UsageCopyAck,
 )
 from wisteriagw.platform import VmListClient, VmListUnavailableError
 
@@ -31,6 +33,7 @@
     from twisted.internet.defer import Deferred
 
     from wisteriagw.entry._entry_context import EntryContext
+    from wisteriagw.entry._usage_wiring import UsageWiring
 
 logger = logging.getLogger(__name__)
 
@@ -47,7 +50,7 @@
 )
 
 
-def start_membership(context: EntryContext, reactor: Any) -> None:
+def start_membership(context: EntryContext, reactor: Any, usage: UsageWiring) -> None:
     """Start what keeps the membership of an entry process up to date."""
     _start_permit_watch(context)
     settings = context.settings
@@ -57,17 +60,22 @@
     mesh = Mesh(reactor, settings["vm"])
     mesh.listen(host, port)
     context.mesh = mesh
+    usage_handlers = {UsageCopy: usage.handle_copy, UsageCopyAck: usage.handle_ack}
+    for message_type, handler in usage_handlers.items():
+        mesh.subscribe(message_type, handler)
     for message_type in MESSAGE_TYPES:
         mesh.subscribe(message_type, context.membership.handle)
     client = VmListClient(context.client, settings["vm-list"])
     LoopingCall(_poll_vm_list, context, client).start(VM_LIST_POLL_SECONDS)
-    LoopingCall(_tick, context, mesh, port).start(HEARTBEAT_SECONDS)
+    LoopingCall(_tick, context, mesh, port, usage).start(HEARTBEAT_SECONDS)
 
 
-def _tick(context: EntryContext, mesh: Mesh, port: int) -> None:
+def _tick(context: EntryContext, mesh: Mesh, port: int, usage: UsageWiring) -> None:
     membership = context.membership
     state = membership.state
+    links = [vm for vm in usage.list_links() if vm in state.members]
     names = [
+        *links,
         *list_direct_peers(state),
         *list_relay_peers(state, membership.clock()),
     ]
--- a/wisteriagw/entry/_options.py
+++ b/wisteriagw/entry/_options.py
@@ -7,6 +7,7 @@
     AddressListKind,
     ChoiceKind,
     FileKind,
+    IntegerKind,
     NumberKind,
     Option,
     TextKind,
@@ -49,6 +50,12 @@
         "0.5",
         "Time between two reads of the configuration stream.",
     ),
+    Option(
+        "usage-window-seconds",
+        IntegerKind(1, 3600, "s"),
+        "60",
+        "Length of a usage window; the same in every program.",
+    ),
     Option(
         "log-level",
         ChoiceKind(("debug", "info", "warning", "error")),
--- a/wisteriagw/entry/_service_resource.py
+++ b/wisteriagw/entry/_service_resource.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import inlineCallbacks
@@ -100,8 +101,11 @@
         call = ServiceCall(
             context, route, customer, place.target, body, content_type, deadline
         )
+        send = partial(
+            context.usage.run_call, call.run, customer, idempotent=route["idempotent"]
+        )
         if not claimed:
-            result = yield call.run()
+            result = yield send()
         else:
             identity = [place.service, route["method"], place.target, content_type]
             claim = build_claim(
@@ -110,6 +114,6 @@
                 json.dumps(identity).encode("utf-8") + body,
                 context.settings["vm"],
             )
-            result = yield context.call_guard.run(claim, call.run)
+            result = yield context.call_guard.run(claim, send)
         if not request.disconnected:
             write_result(result, request)
--- /dev/null
+++ b/wisteriagw/entry/_usage_wiring.py
@@ -0,0 +1,206 @@
+"""Copies of usage partials at peers, and their way into the log."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.task import LoopingCall
+
+from wisteriagw.membership import (
+    VmStatus,
+    choose_copy_peers,
+    get_status,
+    list_available,
+)
+from wisteriagw.messages import UsageCopy, UsageCopyAck
+from wisteriagw.platform import LogUnavailableError
+from wisteriagw.usage import PartialCopies, UsagePartial, append_partials
+
+if TYPE_CHECKING:
+    from collections.abc import Generator
+
+    from wisteriagw.entry._entry_context import EntryContext
+
+logger = logging.getLogger(__name__)
+
+CUT_SECONDS = 0.5
+APPEND_SECONDS = 2.0
+# A copy without a confirmation is sent again; most are in the log before.
+COPY_AGAIN_SECONDS = 1.0
+# Keeps a message under the bound of a mesh frame with 240 customers in each partial.
+MAX_COPIES_PER_MESSAGE = 10
+# Covers a process that was restarted: its VM lives, but nobody confirms its copies.
+ORPHAN_SECONDS = 30.0
+SHUTDOWN_SECONDS = 5.0
+
+
+class UsageWiring:
+    """Copies partials to peers, appends them, and appends those of lost processes.
+
+    Parameters
+    ----------
+    context : EntryContext
+        State of the process.
+    """
+
+    def __init__(self, context: EntryContext) -> None:
+        self.copies = PartialCopies()
+        self._context = context
+        self._counter = context.usage.counter
+        # Peers that have a copy of a pending partial, and those told of any.
+        self._holders: dict[int, set[str]] = {}
+        self._sent_at: dict[int, float] = {}
+        self._informed: dict[str, int] = {}
+        self._heard_at: dict[tuple[str, str], float] = {}
+
+    def list_links(self) -> list[str]:
+        """Return the VMs to be connected to: own peers, and whose copies are here."""
+        origins = {vm for vm, _ in self.copies.list_processes()}
+        return sorted(origins | set(self._informed) | set(self._choose_peers()))
+
+    def cut(self) -> None:
+        """Cut what was counted and send copies that are missing."""
+        while self._counter.cut_partial() is not None:
+            continue
+        peers = self._choose_peers()
+        members = self._context.membership.state.members
+        for gone in self._informed.keys() - members.keys():
+            del self._informed[gone]
+        due = self._list_due(peers)
+        for peer in sorted({*peers, *self._informed}):
+            self._inform(peer, due if peer in peers else [])
+
+    @inlineCallbacks
+    def append(self) -> Generator[Deferred[Any], Any, None]:
+        """Append own partials and those of lost processes, as far as the log takes."""
+        log = self._context.log
+        try:
+            while pending := self._counter.list_pending()[:MAX_COPIES_PER_MESSAGE]:
+                appended = yield append_partials(log, pending)
+                for partial in appended:
+                    self._counter.confirm(partial.seq)
+                    self._holders.pop(partial.seq, None)
+                    self._sent_at.pop(partial.seq, None)
+            for vm, incarnation in self._list_orphans():
+                yield self._append_orphans(vm, incarnation)
+        except LogUnavailableError as error:
+            logger.warning("usage waits for the log: %s", error)
+
+    def handle_copy(self, sender: str, message: UsageCopy) -> None:
+        """Keep the copies of a peer and drop those that are in the log."""
+        process = (sender, message.incarnation)
+        self._heard_at[process] = self._context.clock()
+        self.copies.confirm_below(*process, message.first_pending)
+        stored = []
+        for seq, entries, requests in message.partials:
+            if self.copies.store(UsagePartial(*process, seq, entries, requests)):
+                stored.append(seq)
+        if stored:
+            reply = UsageCopyAck(message.incarnation, tuple(stored))
+            self._context.send_message(sender, reply)
+
+    def handle_ack(self, sender: str, message: UsageCopyAck) -> None:
+        """Note which copies a peer keeps."""
+        for seq in message.seqs:
+            if seq in self._counter.pending:
+                self._holders.setdefault(seq, set()).add(sender)
+
+    @inlineCallbacks
+    def shut_down(self) -> Generator[Deferred[Any], Any, None]:
+        """Append everything, or wait until peers have copies if the log is down."""
+        context = self._context
+        context.usage.stop_all()
+        deadline = context.clock() + SHUTDOWN_SECONDS
+        while context.clock() < deadline:
+            self.cut()
+            yield self.append()
+            missing = self._list_uncopied(self._choose_peers())
+            if not self._counter.pending or not missing:
+                break
+            yield context.sleep(CUT_SECONDS)
+        if self._counter.pending:
+            count = len(self._counter.pending)
+            logger.warning("%d usage partials are left to peers", count)
+        # Tells the peers what is in the log.
+        self.cut()
+
+    def _choose_peers(self) -> list[str]:
+        state = self._context.membership.state
+        available = list_available(state, self._context.clock())
+        return choose_copy_peers(state.vm, state.data_centre, available)
+
+    def _list_uncopied(self, peers: list[str]) -> list[UsagePartial]:
+        wanted = set(peers)
+        return [
+            partial
+            for partial in self._counter.list_pending()
+            if not wanted or wanted - self._holders.get(partial.seq, set())
+        ]
+
+    def _list_due(self, peers: list[str]) -> list[UsagePartial]:
+        now = self._context.clock()
+        due = [
+            partial
+            for partial in self._list_uncopied(peers)
+            if now - self._sent_at.get(partial.seq, float("-inf")) >= COPY_AGAIN_SECONDS
+        ]
+        del due[MAX_COPIES_PER_MESSAGE:]
+        if peers:
+            self._sent_at.update((partial.seq, now) for partial in due)
+        return due
+
+    def _inform(self, peer: str, due: list[UsagePartial]) -> None:
+        """Send a peer its copies, and what it may drop.
+
+        A process with pending partials informs its peers on every cut, so that a
+        silent one can be told from a log outage.
+        """
+        first = self._counter.first_pending
+        if not due and not self._counter.pending and self._informed.get(peer) == first:
+            return
+        fields = tuple(
+            (partial.seq, partial.entries, partial.requests)
+            for partial in due
+            if peer not in self._holders.get(partial.seq, ())
+        )
+        incarnation = self._counter.incarnation
+        self._context.send_message(peer, UsageCopy(incarnation, first, fields))
+        self._informed[peer] = first
+        if not self._counter.pending and peer not in self._choose_peers():
+            # A peer that missed this appends its copies, which changes no figure.
+            del self._informed[peer]
+
+    def _list_orphans(self) -> list[tuple[str, str]]:
+        state, now = self._context.membership.state, self._context.clock()
+        orphans = []
+        for vm, incarnation in self.copies.list_processes():
+            member = state.members.get(vm)
+            silence = now - self._heard_at.get((vm, incarnation), now)
+            lost = member is None or get_status(state, member, now) is VmStatus.FAILED
+            if lost or silence > ORPHAN_SECONDS:
+                orphans.append((vm, incarnation))
+        known = set(self.copies.list_processes())
+        for process in set(self._heard_at) - known:
+            del self._heard_at[process]
+        return orphans
+
+    @inlineCallbacks
+    def _append_orphans(
+        self, vm: str, incarnation: str
+    ) -> Generator[Deferred[Any], Any, None]:
+        partials = self.copies.list_process_partials(vm, incarnation)
+        for start in range(0, len(partials), MAX_COPIES_PER_MESSAGE):
+            batch = partials[start : start + MAX_COPIES_PER_MESSAGE]
+            appended = yield append_partials(self._context.log, batch)
+            seqs = [partial.seq for partial in appended]
+            self.copies.confirm(vm, incarnation, seqs)
+        logger.info("appended %d usage partials of lost VM %s", len(partials), vm)
+
+
+def start_usage(wiring: UsageWiring, reactor: Any) -> None:
+    """Start the loops of a process, and append the rest at its shutdown."""
+    LoopingCall(wiring.cut).start(CUT_SECONDS, now=False)
+    LoopingCall(wiring.append).start(APPEND_SECONDS, now=False)
+    reactor.addSystemEventTrigger("before", "shutdown", wiring.shut_down)
--- a/wisteriagw/membership/__init__.py
+++ b/wisteriagw/membership/__init__.py
@@ -10,6 +10,7 @@
     CONFIRMATION_SECONDS,
     list_confirmations,
 )
+from wisteriagw.membership._copy_peers import choose_copy_peers
 from wisteriagw.membership._evidence import PERMIT_SECONDS, SUMMARY_SECONDS, Evidence
 from wisteriagw.membership._heartbeat_facts import HeartbeatFacts
 from wisteriagw.membership._heartbeats import build_heartbeat
@@ -87,6 +88,7 @@
     "begin_tick",
     "build_heartbeat",
     "build_membership",
+    "choose_copy_peers",
     "choose_entry_vms",
     "choose_pair_relay",
     "choose_probes",
--- /dev/null
+++ b/wisteriagw/membership/_copy_peers.py
@@ -0,0 +1,26 @@
+"""Choice of the peers that keep copies of partials."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wisteriagw.membership._rendezvous import rank_names
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from wisteriagw.membership._member import Member
+
+COPIES = 2
+
+
+def choose_copy_peers(
+    vm: str, data_centre: str, available: Iterable[Member]
+) -> list[str]:
+    """Return the peers for a VM's copies, in other data centres where there are any."""
+    places = {member.vm: member.data_centre for member in available}
+    places.pop(vm, None)
+    near = {name for name, place in places.items() if place == data_centre}
+    ranked = rank_names(f"usage/{vm}", places)
+    # The sort is stable, so each half keeps its rendezvous order.
+    return sorted(ranked, key=near.__contains__)[:COPIES]
--- a/wisteriagw/messages/__init__.py
+++ b/wisteriagw/messages/__init__.py
@@ -10,6 +10,8 @@
 from wisteriagw.messages._probe_reply import ProbeReply
 from wisteriagw.messages._probe_request import ProbeRequest
 from wisteriagw.messages._registry import register_message
+from wisteriagw.messages._usage_copy import UsageCopy
+from wisteriagw.messages._usage_copy_ack import UsageCopyAck
 
 __all__ = [
     "ConfigRecords",
@@ -18,6 +20,8 @@
     "Heartbeat",
     "ProbeReply",
     "ProbeRequest",
+    "UsageCopy",
+    "UsageCopyAck",
     "decode_message",
     "encode_message",
     "register_message",
--- a/wisteriagw/standins/_engine.py
+++ b/wisteriagw/standins/_engine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING, Any
 
 from wisteriagw.standins._engine_batch import EngineBatch
@@ -18,15 +19,23 @@
     from wisteriagw.standins._engine_speed import EngineSpeed
 
 KEEP_WITHOUT_READER_SECONDS = 30.0
+MAX_WORK = 100_000
 
 
 class Engine:
-    """Generations by request id, and the sending of their events to readers."""
+    """Generations by request id, and the sending of their events to readers.
+
+    Attributes
+    ----------
+    work : deque of Generation
+        The newest that were started, also what a crash made the engine forget.
+    """
 
     def __init__(self, speed: EngineSpeed) -> None:
         self.batch = EngineBatch(speed)
         self.cache = PrefixCache(speed.max_cached_blocks)
         self.generations: dict[str, Generation] = {}
+        self.work: deque[Generation] = deque(maxlen=MAX_WORK)
         self.now = 0.0
 
     @property
@@ -38,9 +47,11 @@
         """Start a generation whose events go to a reader."""
         generation = Generation(request)
         scope = f"{generation.model}:{request['adapter']}"
-        generation.use_cached(self.cache.use(scope, request["prompt"]))
+        text = request["prompt"] + request["generated"]
+        generation.use_cached(self.cache.use(scope, text))
         generation.reader = reader
         self.generations[generation.request_id] = generation
+        self.work.append(generation)
         self.batch.add(generation)
         return generation
 
@@ -60,16 +71,16 @@
         if generation.finish_reason:
             self._end(generation)
 
-    def cancel(self, request_id: str, customer: str, attempt: str) -> bool:
-        """End a generation unless another attempt has taken it over."""
+    def cancel(self, request_id: str, customer: str, attempt: str) -> Generation | None:
+        """End and return a generation unless another attempt has taken it over."""
         generation = self.generations.get(request_id)
         if generation is None or generation.customer != customer:
-            return False
+            return None
         if generation.attempt != attempt:
-            return False
+            return None
         self.batch.cancel(generation)
         self._end(generation)
-        return True
+        return generation
 
     def lose_reader(self, generation: Generation, reader: Any) -> None:
         """Keep generating for a while after a reader was lost."""
@@ -113,3 +124,4 @@
         self.lose_reader(generation, reader)
         reader.write(build_end_event(generation))
         reader.finish()
+        generation.ended_before = True
--- a/wisteriagw/standins/_engine_events.py
+++ b/wisteriagw/standins/_engine_events.py
@@ -31,9 +31,8 @@
     """Return the closing event with the figures of the request."""
     end = {
         "finish_reason": generation.finish_reason,
-        "prompt_tokens": generation.prompt_tokens,
-        "cached_tokens": generation.cached_tokens,
-        "generated_tokens": generation.generated_tokens,
+        **generation.figures,
+        "ended_before": generation.ended_before,
     }
     event_id = f"{generation.attempt}/{generation.generated_tokens}"
     return f"id: {event_id}\nevent: end\ndata: {json.dumps(end)}\n\n".encode()
--- a/wisteriagw/standins/_engine_resource.py
+++ b/wisteriagw/standins/_engine_resource.py
@@ -7,6 +7,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
+from wisteriagw.backends import CACHED_TOKENS_HEADER, PROMPT_TOKENS_HEADER
 from wisteriagw.http import read_json_object, write_error, write_json
 
 if TYPE_CHECKING:
@@ -16,7 +17,10 @@
 
 
 class EngineResource(Resource):
-    """Serves ``/generate``, ``/requests/{id}``, ``/cancel``, ``/load``, ``/faults``."""
+    """Serves ``/generate``, ``/requests/{id}``, ``/cancel``, ``/load``, ``/faults``.
+
+    ``/work`` tells the work done for each generation, for comparison with reports.
+    """
 
     isLeaf = True
 
@@ -30,7 +34,9 @@
             body = read_json_object(request)
             if request.path == b"/cancel":
                 identity = (body["request_id"], body["customer"], body["attempt"])
-                write_json(request, 200, {"cancelled": self._engine.cancel(*identity)})
+                cancelled = self._engine.cancel(*identity)
+                figures = cancelled.figures if cancelled else {}
+                write_json(request, 200, {"cancelled": bool(cancelled), **figures})
                 return NOT_DONE_YET
             if request.path == b"/faults":
                 self._show_fault(request, body)
@@ -60,6 +66,14 @@
             load = {"running": len(batch.running), "waiting": len(batch.waiting)}
             write_json(request, 200, load)
             return NOT_DONE_YET
+        if request.path == b"/work":
+            work = [
+                {"request_id": done.request_id, "customer": done.customer}
+                | done.figures
+                for done in self._engine.work
+            ]
+            write_json(request, 200, work)
+            return NOT_DONE_YET
         request_id = request.path.rpartition(b"/")[2].decode("latin-1")
         generation = self._engine.generations.get(request_id)
         customer = request.args.get(b"customer", [b""])[0].decode("latin-1")
@@ -74,5 +88,7 @@
 
     def _start_events(self, request: Request, generation: Any) -> None:
         request.setHeader(b"content-type", b"text/event-stream")
+        request.setHeader(PROMPT_TOKENS_HEADER, b"%d" % generation.prompt_tokens)
+        request.setHeader(CACHED_TOKENS_HEADER, b"%d" % generation.cached_tokens)
         finished = request.notifyFinish()
         finished.addErrback(lambda _: self._engine.lose_reader(generation, request))
--- a/wisteriagw/standins/_generation.py
+++ b/wisteriagw/standins/_generation.py
@@ -22,21 +22,33 @@
         self.max_tokens = request["max_tokens"]
         self.prompt_tokens = estimate_tokens(request["prompt"])
         self.cached_tokens = 0
-        self.prefill_left = float(self.prompt_tokens)
+        generated = request["generated"]
+        context_tokens = estimate_tokens(request["prompt"] + generated)
+        self.prefill_left = float(context_tokens)
         self.first_index = request["first_index"]
         self.generated_tokens = self.first_index
         self.finish_reason = ""
         self.attempt = request["attempt"]
         self.reader: Any = None
         self.without_reader_since = 0.0
-        # A prompt that is continued elsewhere keeps its beginning, and so its tokens.
-        prompt = request["prompt"].partition("\n")[0]
-        self._prefix = hashlib.sha256(prompt.encode("utf-8")).hexdigest()[:4]
+        self.ended_before = False
+        prompt = request["prompt"].encode("utf-8")
+        self._prefix = hashlib.sha256(prompt).hexdigest()[:4]
+
+    @property
+    def figures(self) -> dict[str, int]:
+        """Work done so far; a prompt counts when its prefill has ended."""
+        prefilled = self.prefill_left <= 0
+        return {
+            "prompt_tokens": self.prompt_tokens if prefilled else 0,
+            "cached_tokens": self.cached_tokens if prefilled else 0,
+            "generated_tokens": self.generated_tokens,
+        }
 
     def use_cached(self, tokens: int) -> None:
         """Skip the prefill of tokens that are in the prefix cache."""
         self.cached_tokens = min(tokens, self.prompt_tokens)
-        self.prefill_left = float(self.prompt_tokens - self.cached_tokens)
+        self.prefill_left = max(0.0, self.prefill_left - tokens)
 
     def get_token(self, index: int) -> str:
         """Return a token; it depends on the prompt, so that crossed answers show."""
--- a/wisteriagw/usage/__init__.py
+++ b/wisteriagw/usage/__init__.py
@@ -15,12 +15,13 @@
 from wisteriagw.usage._send_report import SendReport
 from wisteriagw.usage._state_codec import decode_usage_state, encode_usage_state
 from wisteriagw.usage._usage_appender import USAGE_STREAM, append_partials
-from wisteriagw.usage._usage_counter import UsageCounter
+from wisteriagw.usage._usage_counter import MAX_PARTIAL_REQUESTS, UsageCounter
 from wisteriagw.usage._usage_figures import UsageFigures
 from wisteriagw.usage._usage_key import UsageKey
 from wisteriagw.usage._usage_partial import UsagePartial
 from wisteriagw.usage._usage_state import UsageState
 from wisteriagw.usage._windows import (
+    SEAL_GRACE_SECONDS,
     WINDOW_SECONDS,
     get_newest_closable_window,
     get_window,
@@ -29,6 +30,7 @@
 __all__ = [
     "USAGE_STREAM",
     "NO_WINDOW",
+    "SEAL_GRACE_SECONDS",
     "WINDOW_SECONDS",
     "PartialCopies",
     "RecordFigures",
@@ -40,6 +42,7 @@
     "UsageKey",
     "UsagePartial",
     "UsageState",
+    "MAX_PARTIAL_REQUESTS",
     "append_partials",
     "apply_usage_record",
     "build_empty_usage",
--- a/wisteriagw/usage/_partial_copies.py
+++ b/wisteriagw/usage/_partial_copies.py
@@ -38,6 +38,20 @@
         if not copies:
             self._copies.pop((vm, incarnation), None)
 
+    def confirm_below(self, vm: str, incarnation: str, seq: int) -> None:
+        """Forget the copies of one process whose number is below one."""
+        copies = self._copies.get((vm, incarnation), {})
+        self.confirm(vm, incarnation, [known for known in copies if known < seq])
+
+    def list_processes(self) -> list[tuple[str, str]]:
+        """Return the VM and incarnation of every process with copies here."""
+        return list(self._copies)
+
+    def list_process_partials(self, vm: str, incarnation: str) -> list[UsagePartial]:
+        """Return the copies of one process, oldest first."""
+        copies = self._copies.get((vm, incarnation), {})
+        return [copies[seq] for seq in sorted(copies)]
+
     def list_partials(self, vm: str) -> list[UsagePartial]:
         """Return the copies of a VM, oldest first, of all its incarnations."""
         found = []
--- a/wisteriagw/usage/_windows.py
+++ b/wisteriagw/usage/_windows.py
@@ -7,11 +7,15 @@
 SEAL_GRACE_SECONDS = 10.0
 
 
-def get_window(wall_time: float) -> int:
+def get_window(wall_time: float, seconds: float = WINDOW_SECONDS) -> int:
     """Return the number of the window that a time falls into."""
-    return int(wall_time // WINDOW_SECONDS)
+    return int(wall_time // seconds)
 
 
-def get_newest_closable_window(wall_time: float) -> int:
+def get_newest_closable_window(
+    wall_time: float,
+    seconds: float = WINDOW_SECONDS,
+    grace: float = SEAL_GRACE_SECONDS,
+) -> int:
     """Return the newest window that is over for long enough to be closed."""
-    return get_window(wall_time - SEAL_GRACE_SECONDS) - 1
+    return get_window(wall_time - grace, seconds) - 1
