Add the usage program

One process at a time closes windows and reports them under the authority "usage". Window length and grace are options; the holder writes checkpoints of the fold. A reporter whose state is incomplete seals and records nothing.

--- a/tools/write_reference.py
+++ b/tools/write_reference.py
@@ -10,6 +10,7 @@
 
 from wisteriagw.admin import build_parser
 from wisteriagw.entry import OPTIONS as ENTRY_OPTIONS
+from wisteriagw.reporter import OPTIONS as REPORTER_OPTIONS
 from wisteriagw.settings import describe_kind, get_variable
 from wisteriagw.standins import PROGRAM_OPTIONS as STANDIN_OPTIONS
 from wisteriagw.telemetry import METRICS
@@ -21,7 +22,11 @@
 
 DOCS = pathlib.Path(__file__).parent.parent / "docs"
 NOTE = "This page is written by `make reference`; CI checks that it matches the code.\n"
-PROGRAM_OPTIONS = {"wisteriagw-entry": ENTRY_OPTIONS, **STANDIN_OPTIONS}
+PROGRAM_OPTIONS = {
+    "wisteriagw-entry": ENTRY_OPTIONS,
+    "wisteriagw-usage": REPORTER_OPTIONS,
+    **STANDIN_OPTIONS,
+}
 
 
 def build_settings_page() -> str:
--- a/wisteriagw/reporter/_reporter.py
+++ b/wisteriagw/reporter/_reporter.py
@@ -17,7 +17,9 @@
     encode_record,
 )
 from wisteriagw.usage import (
+    SEAL_GRACE_SECONDS,
     USAGE_STREAM,
+    WINDOW_SECONDS,
     RecordFigures,
     SealWindows,
     SendReport,
@@ -52,6 +54,8 @@
         Returns the time that windows are counted in.
     checks_fencing : bool
         Whether the usage interface refuses old fencing numbers.
+    window_seconds, grace_seconds : float
+        Length of a window, and the time after its end until it is closed.
     """
 
     def __init__(
@@ -62,6 +66,8 @@
         client: UsageClient,
         wall_clock: Callable[[], float],
         checks_fencing: bool,
+        window_seconds: float = WINDOW_SECONDS,
+        grace_seconds: float = SEAL_GRACE_SECONDS,
     ) -> None:
         self._keeper = keeper
         self._follower = follower
@@ -69,6 +75,7 @@
         self._client = client
         self._wall_clock = wall_clock
         self._checks_fencing = checks_fencing
+        self._window_rule = (window_seconds, grace_seconds)
 
     @inlineCallbacks
     def run_turn(self) -> Generator[Deferred[Any], Any, None]:
@@ -77,8 +84,10 @@
         if number is None:
             return
         yield self._follower.poll()
+        if self._follower.state_incomplete:
+            return
         may_send = self._may_send()
-        closable = get_newest_closable_window(self._wall_clock())
+        closable = get_newest_closable_window(self._wall_clock(), *self._window_rule)
         for step in decide_reporting_steps(self._follower.state, closable):
             # The lease may have lapsed while the last step waited for its reply.
             if self._keeper.get_fencing_number() != number:
--- a/wisteriagw/usage/__init__.py
+++ b/wisteriagw/usage/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from wisteriagw.usage._checkpoint_codec import USAGE_CODEC
 from wisteriagw.usage._fold import (
     NO_WINDOW,
     apply_usage_record,
@@ -28,6 +29,7 @@
 )
 
 __all__ = [
+    "USAGE_CODEC",
     "USAGE_STREAM",
     "NO_WINDOW",
     "SEAL_GRACE_SECONDS",
