Show what makes up a customer's window; check billing over real processes

wisteriagw-admin usage reads the usage stream on demand and folds each partial alone, so that its share in the window can be told.

--- a/features/steps/_mesh_fleet.py
+++ b/features/steps/_mesh_fleet.py
@@ -13,7 +13,7 @@
 LINK = pathlib.Path(__file__).parent / "_tcp_link.py"
 
 
-def start_mesh_fleet(programs: Programs, entries: int) -> str:
+def start_mesh_fleet(programs: Programs, entries: int, *options: str) -> str:
     """Start stand-ins and entry processes on 127.0.0.1, 127.0.0.2 and so on."""
     for name in ("log", "engine", "service"):
         programs.start(
@@ -33,7 +33,7 @@
         }
         programs.call("vms", "POST", "/vms", vm)
         start_link(programs, number)
-        start_mesh_entry(programs, number, ports)
+        start_mesh_entry(programs, number, ports, *options)
     for number in range(1, entries + 1):
         programs.wait_until_served(f"operators-{number}")
     return configure(programs)
@@ -47,7 +47,9 @@
     programs.wait_until_served(f"link-{number}")
 
 
-def start_mesh_entry(programs: Programs, number: int, ports: list[str]) -> None:
+def start_mesh_entry(
+    programs: Programs, number: int, ports: list[str], *options: str
+) -> None:
     """Start one entry process; all use the same ports on their own address."""
     host = f"127.0.0.{number}"
     caller, operator, mesh = (f"{host}:{port}" for port in ports)
@@ -64,4 +66,5 @@
         f"--mesh-listen={mesh}",
         f"--vm-list={programs.addresses['vms']}",
         f"--log={programs.addresses[f'link-{number}']}",
+        *options,
     )
--- a/wisteriagw/admin/_commands.py
+++ b/wisteriagw/admin/_commands.py
@@ -12,6 +12,7 @@
 from wisteriagw.admin._give_key import GIVE_KEY
 from wisteriagw.admin._publish import PUBLISH
 from wisteriagw.admin._revision import REVISION
+from wisteriagw.admin._usage import USAGE
 from wisteriagw.admin._withdraw_key import WITHDRAW_KEY
 
 COMMANDS = (
@@ -26,4 +27,5 @@
     REVISION,
     EXPLAIN,
     AUDIT,
+    USAGE,
 )
--- a/wisteriagw/entry/_operators_resource.py
+++ b/wisteriagw/entry/_operators_resource.py
@@ -18,6 +18,7 @@
 from wisteriagw.entry._operators_revisions import RevisionsResource
 from wisteriagw.entry._operators_sheet_checks import SheetChecksResource
 from wisteriagw.entry._operators_sheets import build_publication
+from wisteriagw.entry._operators_usage import UsageResource
 from wisteriagw.entry._operators_withdrawals import build_key_withdrawal
 from wisteriagw.entry._refusing_resource import RefusingResource
 
@@ -40,6 +41,7 @@
     b"revisions": RevisionsResource,
     b"decisions": DecisionsResource,
     b"audit": AuditResource,
+    b"usage": UsageResource,
 }
 
 
--- a/wisteriagw/usage/__init__.py
+++ b/wisteriagw/usage/__init__.py
@@ -21,6 +21,7 @@
 from wisteriagw.usage._usage_key import UsageKey
 from wisteriagw.usage._usage_partial import UsagePartial
 from wisteriagw.usage._usage_state import UsageState
+from wisteriagw.usage._usage_trace import UsageTrace
 from wisteriagw.usage._windows import (
     SEAL_GRACE_SECONDS,
     WINDOW_SECONDS,
@@ -44,6 +45,7 @@
     "UsageKey",
     "UsagePartial",
     "UsageState",
+    "UsageTrace",
     "MAX_PARTIAL_REQUESTS",
     "append_partials",
     "apply_usage_record",
