--- a/features/steps/usage_steps.py
+++ b/features/steps/usage_steps.py
@@ -7,14 +7,17 @@
 import time
 from collections import Counter
 
+import cbor2
 from behave import given, then, when
 
 from features.steps._admin import run_admin
 from features.steps._mesh_fleet import start_mesh_fleet
 from features.steps.end_to_end_steps import CHAT_PATH, build_prompt
+from wisteriagw.records import LeaseRelease, decode_record
 
 WINDOW_SECONDS = 2
 REPORT_SECONDS = 25.0
+STOP_SECONDS = 10.0
 # Two cuts of 0.5 s, and the time in which a peer confirms its copy.
 COPIED_SECONDS = 1.5
 FIGURES = ("prompt_tokens", "cached_tokens", "generated_tokens")
@@ -102,10 +105,29 @@
     ]
     assert len(holders) == 1, holders
     context.programs.stop(f"reporter-{holders[0]}")
+    context.successor = f"reporter-{3 - holders[0]}"
     set_vm(context, holders[0], removed=True)
     context.first_reports = len(read_json(context, "usage", "/reports")["reports"])
 
 
+@when("entry VM {number:d} is asked to stop")
+def step_stop_entry(context, number: int) -> None:
+    stop_gracefully(context, f"entry-{number}")
+
+
+@when("the other usage process is asked to stop")
+def step_stop_reporter(context) -> None:
+    stop_gracefully(context, context.successor)
+
+
+@then("it releases its authority")
+def step_check_release(context) -> None:
+    _, body = context.programs.call("log", "GET", "/streams/leases")
+    record = decode_record(cbor2.loads(body)["records"][-1][1])
+    assert isinstance(record, LeaseRelease), record
+    assert record.vm == f"vm-{context.successor}", record
+
+
 @then("windows are reported")
 def step_check_reported(context) -> None:
     deadline = time.monotonic() + REPORT_SECONDS
@@ -150,6 +172,17 @@
     assert "vm-1" in found, found
 
 
+def stop_gracefully(context, name: str) -> None:
+    """Ask a process to stop and wait until it has."""
+    process = context.programs.processes.pop(name)
+    process.terminate()
+    try:
+        process.wait(STOP_SECONDS)
+    finally:
+        process.kill()
+        process.wait()
+
+
 def set_vm(context, number: int, **fields: bool) -> None:
     """Put the VM of a usage process on the VM list, or change it there."""
     vm = {
--- a/features/usage.feature
+++ b/features/usage.feature
@@ -12,6 +12,9 @@
     And the log comes back
     And the process that reports usage is killed and its VM leaves the VM list
     And callers work through entry VMs 2 and 3
+    And entry VM 3 is asked to stop
     Then within 30 s the usage reported equals the work that was done
     And no window was reported with different figures
     And the records of entry VM 1 show at entry VM 2 for the customer market
+    When the other usage process is asked to stop
+    Then it releases its authority
--- a/tests/support/__init__.py
+++ b/tests/support/__init__.py
@@ -23,6 +23,9 @@
 from tests.support._simulated_mesh import (
     SimulatedMesh,
 )
+from tests.support._usage_vms import (
+    UsageVms,
+)
 from tests.support._virtual_clock import (
     VirtualClock,
 )
@@ -35,5 +38,6 @@
     "RecordingStore",
     "ScriptedPeer",
     "SimulatedMesh",
+    "UsageVms",
     "VirtualClock",
 ]
--- /dev/null
+++ b/tests/support/_usage_vms.py
@@ -0,0 +1,110 @@
+"""Entry processes that exchange usage copies without a network."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.defer import succeed
+
+from tests.support._virtual_clock import VirtualClock
+from wisteriagw.entry._entry_context import EntryContext
+from wisteriagw.entry._usage_wiring import UsageWiring
+from wisteriagw.follower import StreamFollower
+from wisteriagw.messages import UsageCopy, UsageCopyAck
+from wisteriagw.platform import VmEntry
+from wisteriagw.usage import USAGE_STREAM, apply_usage_record, build_empty_usage
+
+if TYPE_CHECKING:
+    from tests.support._memory_log import MemoryLog
+
+TICK_SECONDS = 0.5
+
+
+class UsageVms:
+    """The usage wiring of some VMs over one log and one clock."""
+
+    def __init__(self, places: dict[str, str], log: MemoryLog) -> None:
+        self.clock = VirtualClock(600.0)
+        self.contexts: dict[str, EntryContext] = {}
+        self.wirings: dict[str, UsageWiring] = {}
+        self._places = places
+        self._log = log
+        self._paused: set[str] = set()
+        for vm in places:
+            self.restart(vm)
+
+    def restart(self, vm: str) -> None:
+        """Start the process of a VM, as one that remembers nothing."""
+        settings = {
+            "vm": vm,
+            "data-centre": self._places[vm],
+            "listen": ("127.0.0.1", 1),
+            "vm-list": ("127.0.0.1", 1),
+        }
+        context = EntryContext(settings, None, self._log, self.clock, Counter())
+        context.sleep = lambda seconds: succeed(self.clock.advance(seconds))
+        context.mesh = MeshEnd(self, vm)
+        self.contexts[vm] = context
+        self.wirings[vm] = UsageWiring(context)
+        self.set_list(set(self._places))
+
+    def set_list(self, vms: set[str]) -> None:
+        """Give every VM a VM list."""
+        entries = [VmEntry(vm, self._places[vm], "127.0.0.1", False) for vm in vms]
+        for context in self.contexts.values():
+            context.membership.set_vm_list(entries)
+
+    def pause(self, vm: str, *, leaves_list: bool) -> None:
+        """Stop a process; nothing reaches it any more."""
+        self._paused.add(vm)
+        if leaves_list:
+            self.set_list(set(self._places) - {vm})
+
+    def resume(self, vm: str) -> None:
+        """Let a process go on where it stopped."""
+        self._paused.discard(vm)
+        self.set_list(set(self._places))
+
+    def run(self, seconds: float) -> None:
+        """Run the loops of all processes for a time."""
+        for number in range(int(seconds / TICK_SECONDS)):
+            self.clock.advance(TICK_SECONDS)
+            for vm, wiring in self.wirings.items():
+                if vm in self._paused:
+                    continue
+                self.contexts[vm].membership.tick()
+                wiring.cut()
+                if number % 4 == 3:
+                    wiring.append()
+
+    def deliver(self, sender: str, vm: str, message: Any) -> None:
+        """Pass a message on, as the mesh does."""
+        if {sender, vm} & self._paused or vm not in self.wirings:
+            return
+        handlers = {
+            UsageCopy: self.wirings[vm].handle_copy,
+            UsageCopyAck: self.wirings[vm].handle_ack,
+        }
+        default = self.contexts[vm].membership.handle
+        handlers.get(type(message), default)(sender, message)
+
+    def read_usage(self) -> int:
+        """Return the generated tokens that the log counts."""
+        follower = StreamFollower(
+            self._log, USAGE_STREAM, build_empty_usage(), apply_usage_record, self.clock
+        )
+        follower.poll()
+        return sum(row.generated_tokens for row in follower.state.totals.values())
+
+
+class MeshEnd:
+    """The mesh as one VM uses it."""
+
+    def __init__(self, vms: UsageVms, vm: str) -> None:
+        self._vms = vms
+        self._vm = vm
+
+    def send(self, vm: str, message: Any) -> None:
+        """Deliver a message at once."""
+        self._vms.deliver(self._vm, vm, message)
