--- a/tests/support/__init__.py
+++ b/tests/support/__init__.py
@@ -13,6 +13,7 @@
 from tests.support._scripted_engine import ScriptedEngine
 from tests.support._scripted_peer import ScriptedPeer
 from tests.support._simulated_mesh import SimulatedMesh
+from tests.support._usage_vms import UsageVms
 from tests.support._virtual_clock import VirtualClock
 
 __all__ = [
@@ -27,5 +28,6 @@
     "ScriptedEngine",
     "ScriptedPeer",
     "SimulatedMesh",
+    "UsageVms",
     "VirtualClock",
 ]
--- a/tools/write_reference.py
+++ b/tools/write_reference.py
@@ -11,6 +11,7 @@
 from wisteriagw.admin import build_parser
 from wisteriagw.control import OPTIONS as CONTROL_OPTIONS
 from wisteriagw.entry import OPTIONS as ENTRY_OPTIONS
+from wisteriagw.reporter import OPTIONS as REPORTER_OPTIONS
 from wisteriagw.settings import describe_kind, get_variable
 from wisteriagw.standins import PROGRAM_OPTIONS as STANDIN_OPTIONS
 from wisteriagw.telemetry import METRICS
@@ -25,6 +26,7 @@
 PROGRAM_OPTIONS = {
     "wisteriagw-entry": ENTRY_OPTIONS,
     "wisteriagw-control": CONTROL_OPTIONS,
+    "wisteriagw-usage": REPORTER_OPTIONS,
     **STANDIN_OPTIONS,
 }
 
--- a/wisteriagw/entry/_generation_relay.py
+++ b/wisteriagw/entry/_generation_relay.py
@@ -92,6 +92,7 @@
         self._backend_server = ""
         self._handle = ""
         context.running[""] += 1
+        self._usage = context.usage.track(plan)
         self._position = StreamPosition(b"", 0)
         self._reader: EventReader | None = None
         self._kept: list[bytes] = []
@@ -113,10 +114,11 @@
         """Generate at the backend server that the routing decision gives."""
         plan = self._plan
         try:
-            prompt = plan.chat.prompt + join_tokens(self._kept)
+            generated = join_tokens(self._kept)
         except ValueError as error:
             self._refuse(MayHaveRun(str(error)))
             return
+        prompt = plan.chat.prompt + generated
         route_request = RouteRequest(
             plan.customer,
             plan.chat.model,
@@ -130,13 +132,13 @@
         placed = self._context.dispatch.place(
             self._request, self._handle, route_request
         )
-        placed.addCallback(self._send, route_request, prompt)
+        placed.addCallback(self._send, route_request, generated)
 
     def _send(
         self,
         decision: RoutingDecision | Refusal,
         route_request: RouteRequest,
-        prompt: str,
+        generated: str,
     ) -> None:
         context, plan = self._context, self._plan
         context.explain(plan.request_id, plan.customer, route_request, decision)
@@ -154,9 +156,10 @@
             "customer": plan.customer,
             "model": plan.chat.model,
             "adapter": plan.chat.adapter,
-            "prompt": prompt,
+            "prompt": plan.chat.prompt,
             "max_tokens": plan.chat.max_tokens,
             "priority": 0,
+            "generated": generated,
             "first_index": self._position.next_index,
         }
         data = json.dumps(body).encode("utf-8")
@@ -180,6 +183,7 @@
         """Pass on the events of an engine."""
         if self._timer is not None and self._sink.can_resume:
             self._stop_timer()
+        self._usage.next_index = self._reader.position.next_index
         self._resumes_left = MAX_RESUMES
         self._progressed = True
         if not self._kept:
@@ -190,6 +194,7 @@
 
     def finish(self, end: StreamEnd) -> None:
         """End the caller's response as a whole answer."""
+        self._usage.finish(end)
         try:
             self._close()
             self._sink.finish(end)
@@ -242,6 +247,7 @@
             self._go_on(outcome, isinstance(outcome, MayHaveRun))
             return
         if response.code == 200 and not self._over:
+            self._usage.read_head(response.headers)
             self._reader = EventReader(self, self._position)
             response.deliverBody(self._reader)
             if self._paused:
@@ -279,6 +285,7 @@
             self._reader = None
         self._last_outcome = outcome
         if isinstance(outcome, MayHaveRun):
+            self._usage.interrupt()
             self._attempts = self._attempts._replace(may_have_run=True)
         chat = self._plan.chat
         if chat is None:
@@ -364,6 +371,7 @@
         self._over = True
         self._context.dispatch.note_end(self._handle, self._position.next_index)
         self._stall_timer.cancel()
+        self._usage.stop()
         self._context.running[self._backend_server] -= 1
         if self._timer is not None:
             self._stop_timer()
@@ -388,7 +396,8 @@
             "attempt": self._position.attempt.decode("ascii"),
         }
         data = json.dumps(body).encode("utf-8")
-        self._context.client.send(address, "POST", "/cancel", data, timeout=2.0)
+        sent = self._context.client.send(address, "POST", "/cancel", data, timeout=2.0)
+        sent.addCallback(self._usage.read_cancel)
 
     def _apply_pause(self) -> None:
         if self._reader is None or self._reader.transport is None:
--- a/wisteriagw/entry/_options.py
+++ b/wisteriagw/entry/_options.py
@@ -7,6 +7,7 @@
     AddressListKind,
     ChoiceKind,
     FileKind,
+    IntegerKind,
     NumberKind,
     Option,
     TextKind,
@@ -55,6 +56,12 @@
         "30",
         "Time after SIGTERM in which new requests are still taken.",
     ),
+    Option(
+        "usage-window-seconds",
+        IntegerKind(1, 3600, "s"),
+        "60",
+        "Length of a usage window; the same in every program.",
+    ),
     Option(
         "log-level",
         ChoiceKind(("debug", "info", "warning", "error")),
--- a/wisteriagw/entry/_service_resource.py
+++ b/wisteriagw/entry/_service_resource.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import inlineCallbacks
@@ -118,8 +119,11 @@
             content_type,
             deadline,
         )
+        send = partial(
+            context.usage.run_call, call.run, customer, idempotent=route["idempotent"]
+        )
         if not claimed:
-            result = yield call.run()
+            result = yield send()
         else:
             identity = [place.service, route["method"], place.target, content_type]
             claim = build_claim(
@@ -128,6 +132,6 @@
                 json.dumps(identity).encode("utf-8") + body,
                 context.settings["vm"],
             )
-            result = yield context.call_guard.run(claim, call.run)
+            result = yield context.call_guard.run(claim, send)
         if not request.disconnected:
             write_result(result, request)
