Add certificates to the mesh, the operators' interface and the caller interface

The fleet settings give one certificate to the mesh and the operators' interface, and both ends must show one of the fleet's authorities. Files are checked with the other settings and reported together.

--- a/features/steps/_programs.py
+++ b/features/steps/_programs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import pathlib
 import socket
 import subprocess
@@ -10,7 +11,10 @@
 import time
 import urllib.error
 import urllib.request
-from typing import Any
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    import ssl
 
 BIN = pathlib.Path(sys.executable).parent
 START_SECONDS = 20.0
@@ -22,6 +26,9 @@
     def __init__(self) -> None:
         self.processes: dict[str, subprocess.Popen] = {}
         self.addresses: dict[str, str] = {}
+        # Settings of all programs started, and TLS contexts by the kind of address.
+        self.environment: dict[str, str] = {}
+        self.tls: dict[str, ssl.SSLContext] = {}
 
     def reserve(self, name: str) -> str:
         """Return a free loopback address and remember it under a name."""
@@ -42,6 +49,7 @@
             [str(BIN / program), *arguments],
             stdout=subprocess.DEVNULL,
             stderr=subprocess.DEVNULL,
+            env={**os.environ, **self.environment},
         )
 
     def wait_until_served(self, name: str) -> None:
@@ -60,11 +68,11 @@
     ) -> tuple[int, bytes]:
         """Send a request and return the status and the body."""
         data = None if body is None else json.dumps(body).encode("utf-8")
-        request = urllib.request.Request(
-            f"http://{self.addresses[name]}{path}", data, headers, method=method
-        )
+        tls = self.tls.get(name.partition("-")[0])
+        url = f"{'https' if tls else 'http'}://{self.addresses[name]}{path}"
+        request = urllib.request.Request(url, data, headers, method=method)
         try:
-            with urllib.request.urlopen(request, timeout=20) as response:
+            with urllib.request.urlopen(request, timeout=20, context=tls) as response:
                 return response.status, response.read()
         except urllib.error.HTTPError as error:
             return error.code, error.read()
--- a/wisteriagw/admin/_main.py
+++ b/wisteriagw/admin/_main.py
@@ -16,9 +16,16 @@
 from wisteriagw.admin._commands import COMMANDS
 from wisteriagw.admin._outcome_text import build_error, format_error
 from wisteriagw.admin._sending import send_call
+from wisteriagw.findings import format_findings
 from wisteriagw.http import HttpClient
 from wisteriagw.outcomes import Done
 from wisteriagw.settings import AddressListKind, get_variable, parse_value
+from wisteriagw.transport import (
+    FLEET_TLS,
+    FLEET_TLS_OPTIONS,
+    check_tls_files,
+    load_transport,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Generator, Sequence
@@ -36,6 +43,7 @@
     ("operator-address", "Operators' addresses of entry VMs, divided by commas."),
     ("operator-token-file", "File with the token of operators."),
     ("operator", "Name for the audit trail."),
+    *((option.name, option.help) for option in FLEET_TLS_OPTIONS),
 )
 
 
@@ -66,11 +74,12 @@
     try:
         addresses = parse_value(AddressListKind(), parsed.operator_address)
         headers = build_headers(parsed.operator_token_file)
+        transport = build_transport(parsed)
         call = command.build_call(parsed)
     except (OSError, ValueError) as error:
         sys.stderr.write(f"{PROGRAM}: {error}\n")
         sys.exit(EXIT_INVALID_ARGUMENTS)
-    task.react(_run, (parsed, command, addresses, headers, call))
+    task.react(_run, (parsed, command, addresses, headers, call, transport))
 
 
 def build_headers(token_file: str) -> dict[str, str]:
@@ -81,6 +90,17 @@
     return {"authorization": f"Bearer {token}"}
 
 
+def build_transport(parsed: argparse.Namespace) -> Any:
+    """Return the transport to the operators' interface, or raise ValueError."""
+    settings = {
+        name: getattr(parsed, name.replace("-", "_")) or None for name in FLEET_TLS
+    }
+    findings = check_tls_files(settings, FLEET_TLS)
+    if findings:
+        raise ValueError(format_findings(findings))
+    return load_transport(settings, FLEET_TLS)
+
+
 @inlineCallbacks
 def _run(
     reactor: Any,
@@ -89,8 +109,9 @@
     addresses: Sequence[tuple[str, int]],
     headers: dict[str, str],
     call: OperatorCall | None,
+    transport: Any,
 ) -> Generator[Deferred[Any], Any, None]:
-    client = HttpClient(reactor)
+    client = HttpClient(reactor, transport=transport)
     while call is not None:
         if call.body is not None:
             audit = {"operator": parsed.operator, "cause": parsed.cause}
--- a/wisteriagw/entry/_main.py
+++ b/wisteriagw/entry/_main.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import sys
 from collections import Counter
 from functools import partial
 from typing import Any
@@ -26,25 +25,31 @@
 from wisteriagw.entry._requests_resource import RequestsResource
 from wisteriagw.entry._service_resource import ServiceResource
 from wisteriagw.entry._version_resource import VersionResource
-from wisteriagw.findings import format_findings
 from wisteriagw.http import BoundedRequest, HttpClient
 from wisteriagw.platform import HttpLogClient, LogUnavailableError
-from wisteriagw.settings import EXIT_INVALID_SETTINGS, load_settings
+from wisteriagw.settings import load_settings
 from wisteriagw.telemetry import start_logging
+from wisteriagw.transport import CALLER_TLS, FLEET_TLS, check_tls_files, load_transport
 
 logger = logging.getLogger(__name__)
 
 PROGRAM = "wisteriagw-entry"
 DESCRIPTION = "Carries requests of callers to backend servers."
+CHECKS = (
+    lambda settings: load_operator_token(settings)[1],
+    partial(check_tls_files, names=CALLER_TLS),
+    partial(check_tls_files, names=FLEET_TLS),
+)
 
 
 def main() -> None:
     """Run the entry program."""
-    settings = load_settings(PROGRAM, DESCRIPTION, OPTIONS)
-    token, findings = load_operator_token(settings)
-    if findings:
-        sys.stderr.write(format_findings(findings) + "\n")
-        sys.exit(EXIT_INVALID_SETTINGS)
+    settings = load_settings(PROGRAM, DESCRIPTION, OPTIONS, checks=CHECKS)
+    token, _ = load_operator_token(settings)
+    caller_transport = load_transport(settings, CALLER_TLS)
+    fleet_transport = load_transport(settings, FLEET_TLS)
+    for transport in (caller_transport, fleet_transport):
+        transport.watch_files(reactor)
     start_logging("entry", settings["log-level"])
     client = HttpClient(reactor)
     log = HttpLogClient(client, settings["log"])
@@ -55,11 +60,11 @@
     context.call_guard = CallGuard(batcher, read_boot_time)
     polling = LoopingCall(_poll_config, context)
     polling.start(settings["config-poll-seconds"])
-    start_membership(context, reactor)
-    _listen(settings["listen"], build_caller_root(context))
+    start_membership(context, reactor, fleet_transport)
+    _listen(caller_transport, settings["listen"], build_caller_root(context))
     operators = Resource()
     operators.putChild(b"v1", OperatorsResource(context, token))
-    _listen(settings["operator-listen"], operators)
+    _listen(fleet_transport, settings["operator-listen"], operators)
     reactor.run()
 
 
@@ -78,9 +83,8 @@
     return root
 
 
-def _listen(address: tuple[str, int], root: Resource) -> None:
-    host, port = address
-    reactor.listenTCP(port, Site(root, requestFactory=BoundedRequest), interface=host)
+def _listen(transport: Any, address: tuple[str, int], root: Resource) -> None:
+    transport.listen(reactor, address, Site(root, requestFactory=BoundedRequest))
 
 
 def _poll_config(context: EntryContext) -> Any:
--- a/wisteriagw/entry/_membership_wiring.py
+++ b/wisteriagw/entry/_membership_wiring.py
@@ -47,14 +47,16 @@
 )
 
 
-def start_membership(context: EntryContext, reactor: Any) -> None:
+def start_membership(
+    context: EntryContext, reactor: Any, transport: Any = None
+) -> None:
     """Start what keeps the membership of an entry process up to date."""
     _start_permit_watch(context)
     settings = context.settings
     if settings["vm-list"] is None:
         return
     host, port = settings["mesh-listen"] or (settings["listen"][0], DEFAULT_MESH_PORT)
-    mesh = Mesh(reactor, settings["vm"])
+    mesh = Mesh(reactor, settings["vm"], transport)
     mesh.listen(host, port)
     context.mesh = mesh
     for message_type in MESSAGE_TYPES:
--- a/wisteriagw/entry/_operator_access.py
+++ b/wisteriagw/entry/_operator_access.py
@@ -2,17 +2,25 @@
 
 from __future__ import annotations
 
+import hmac
 import ipaddress
 import pathlib
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
+from wisteriagw.entry._authentication import read_bearer_token
 from wisteriagw.findings import Finding
 
+if TYPE_CHECKING:
+    from twisted.web.server import Request
+
 MIN_TOKEN_CHARACTERS = 16
 
 
 def load_operator_token(settings: dict[str, Any]) -> tuple[str, list[Finding]]:
     """Return the token of the operators, empty without one, and the findings."""
+    if not {"operator-token-file", "operator-listen"} <= settings.keys():
+        # The missing setting has its own finding.
+        return "", []
     path = settings["operator-token-file"]
     if path is None:
         host = settings["operator-listen"][0]
@@ -29,3 +37,9 @@
         message = f"the token has under {MIN_TOKEN_CHARACTERS} characters"
         return "", [Finding(place, message)]
     return token, []
+
+
+def is_operator(request: Request, token: str) -> bool:
+    """Return whether a request came with the operators' token, or none is needed."""
+    given = read_bearer_token(request).encode("utf-8")
+    return not token or hmac.compare_digest(given, token.encode("utf-8"))
--- a/wisteriagw/entry/_operators_resource.py
+++ b/wisteriagw/entry/_operators_resource.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import hmac
 from typing import TYPE_CHECKING, Any
 
 from twisted.web.resource import Resource
 
-from wisteriagw.entry._authentication import read_bearer_token
 from wisteriagw.entry._change_resource import ChangeResource
+from wisteriagw.entry._operator_access import is_operator
 from wisteriagw.entry._operators_audit import AuditResource
 from wisteriagw.entry._operators_customers import build_customer_creation
 from wisteriagw.entry._operators_decisions import DecisionsResource
@@ -57,7 +56,7 @@
 
     def __init__(self, context: EntryContext, token: str = "") -> None:
         super().__init__()
-        self._token = token.encode("utf-8")
+        self._token = token
         for name, build in CHANGES.items():
             self.putChild(name, ChangeResource(context, build))
         for name, resource_type in VIEWS.items():
@@ -65,8 +64,7 @@
 
     def getChildWithDefault(self, path: bytes, request: Request) -> Any:
         """Return a route to an operator."""
-        given = read_bearer_token(request).encode("utf-8")
-        if self._token and not hmac.compare_digest(given, self._token):
+        if not is_operator(request, self._token):
             return RefusingResource(401, "invalid_key", "no valid operator token")
         return super().getChildWithDefault(path, request)
 
--- a/wisteriagw/entry/_options.py
+++ b/wisteriagw/entry/_options.py
@@ -11,6 +11,7 @@
     Option,
     TextKind,
 )
+from wisteriagw.transport import CALLER_TLS_OPTIONS, FLEET_TLS_OPTIONS
 
 OPTIONS = (
     Option("vm", TextKind(), None, "Name of this VM in the VM list."),
@@ -55,4 +56,12 @@
         "info",
         "Lowest level of the lines that are logged.",
     ),
+    Option(
+        "statsd",
+        AddressKind(),
+        "",
+        "Address of the statsd server; without it no metrics are sent.",
+    ),
+    *CALLER_TLS_OPTIONS,
+    *FLEET_TLS_OPTIONS,
 )
--- a/wisteriagw/http/_attempt_endpoints.py
+++ b/wisteriagw/http/_attempt_endpoints.py
@@ -21,11 +21,16 @@
     """Builds endpoints from IP addresses only, so that no resolver is asked."""
 
     def __init__(
-        self, reactor: Any, progress: AttemptProgress, connect_timeout: float
+        self,
+        reactor: Any,
+        progress: AttemptProgress,
+        connect_timeout: float,
+        transport: Any,
     ) -> None:
         self._reactor = reactor
         self._progress = progress
         self._connect_timeout = connect_timeout
+        self._transport = transport
 
     def endpointForURI(self, uri: URI) -> TrackedEndpoint:
         """Return the endpoint of a URI whose host is an IP address."""
@@ -34,4 +39,5 @@
         endpoint = endpoint_type(
             self._reactor, host, uri.port, timeout=self._connect_timeout
         )
+        endpoint = self._transport.wrap_endpoint(endpoint)
         return TrackedEndpoint(endpoint, self._progress)
--- a/wisteriagw/http/_http_client.py
+++ b/wisteriagw/http/_http_client.py
@@ -14,6 +14,7 @@
 from wisteriagw.http._body_collector import BodyCollector
 from wisteriagw.http._refusal import read_refusal
 from wisteriagw.outcomes import Done, FailedNotRun, MayHaveRun
+from wisteriagw.transport import PlainTransport
 
 if TYPE_CHECKING:
     from collections.abc import Generator, Mapping
@@ -31,10 +32,14 @@
     """Sends requests and classifies what became of them."""
 
     def __init__(
-        self, reactor: Any, connect_timeout: float = CONNECT_TIMEOUT_SECONDS
+        self,
+        reactor: Any,
+        connect_timeout: float = CONNECT_TIMEOUT_SECONDS,
+        transport: Any = None,
     ) -> None:
         self.reactor = reactor
         self._connect_timeout = connect_timeout
+        self._transport = transport or PlainTransport()
         self._pool = HTTPConnectionPool(reactor)
         self._pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS
         # The pool would repeat a request whose connection was lost, also one that ran.
@@ -52,7 +57,9 @@
         progress = AttemptProgress()
         agent = Agent.usingEndpointFactory(
             self.reactor,
-            AttemptEndpoints(self.reactor, progress, self._connect_timeout),
+            AttemptEndpoints(
+                self.reactor, progress, self._connect_timeout, self._transport
+            ),
             pool=self._pool,
         )
         host, port = address
--- a/wisteriagw/mesh/_frame_protocol.py
+++ b/wisteriagw/mesh/_frame_protocol.py
@@ -81,6 +81,9 @@
 
     def connectionLost(self, reason: Failure) -> None:
         """Report the end of the connection."""
+        if not self._open:
+            # Names a refused certificate, which looks like a peer that is down.
+            logger.warning("mesh connection was not opened: %s", reason.value)
         self._open = False
         self._on_close()
 
--- a/wisteriagw/mesh/_mesh.py
+++ b/wisteriagw/mesh/_mesh.py
@@ -14,6 +14,7 @@
 from wisteriagw.mesh._mesh_counters import MeshCounters
 from wisteriagw.mesh._peer_connection import PeerConnection
 from wisteriagw.messages import decode_message, encode_message
+from wisteriagw.transport import PlainTransport
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -33,10 +34,11 @@
     not connected, or that does not keep up, is dropped and counted.
     """
 
-    def __init__(self, reactor: Any, vm: str) -> None:
+    def __init__(self, reactor: Any, vm: str, transport: Any = None) -> None:
         self.counters = MeshCounters()
         self._reactor = reactor
         self._vm = vm
+        self._transport = transport or PlainTransport()
         self._connections: dict[str, PeerConnection] = {}
         self._handlers: dict[type, list[Callable[[str, Any], None]]] = {}
         # Only spreads reconnects; it is seeded by the operating system.
@@ -45,7 +47,7 @@
     def listen(self, host: str, port: int) -> Any:
         """Accept connections of peers; returns the listening port."""
         factory = Factory.forProtocol(self._build_server_protocol)
-        return self._reactor.listenTCP(port, factory, interface=host)
+        return self._transport.listen(self._reactor, (host, port), factory)
 
     def set_peers(self, peers: Iterable[PeerAddress]) -> None:
         """Connect to these peers and to no others."""
@@ -57,7 +59,9 @@
         for vm, peer in wanted.items():
             if vm in self._connections:
                 continue
-            connection = PeerConnection(self._reactor, self._vm, peer, self._random)
+            connection = PeerConnection(
+                self._reactor, self._vm, peer, self._random, self._transport
+            )
             self._connections[vm] = connection
             connection.start()
 
--- a/wisteriagw/mesh/_peer_connection.py
+++ b/wisteriagw/mesh/_peer_connection.py
@@ -24,12 +24,18 @@
     """Keeps a connection to a peer open; messages go from this VM to the peer only."""
 
     def __init__(
-        self, reactor: Any, vm: str, address: PeerAddress, random_source: random.Random
+        self,
+        reactor: Any,
+        vm: str,
+        address: PeerAddress,
+        random_source: random.Random,
+        transport: Any,
     ) -> None:
         self.address = address
         self._reactor = reactor
         self._vm = vm
         self._random = random_source
+        self._transport = transport
         self._attempts = 0
         self._protocol: FrameProtocol | None = None
         self._retry: Any = None
@@ -43,6 +49,7 @@
         endpoint = endpoint_type(
             self._reactor, host, port, timeout=CONNECT_TIMEOUT_SECONDS
         )
+        endpoint = self._transport.wrap_endpoint(endpoint)
         connecting = endpoint.connect(Factory.forProtocol(self._build_protocol))
         connecting.addCallbacks(self._keep, lambda _: self._retry_later())
 
--- a/wisteriagw/settings/_loading.py
+++ b/wisteriagw/settings/_loading.py
@@ -12,7 +12,7 @@
 from wisteriagw.settings._parsing import parse_value
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Callable, Mapping, Sequence
 
     from wisteriagw.settings._option import Option
 
@@ -78,8 +78,12 @@
     description: str,
     options: Sequence[Option],
     arguments: Sequence[str] | None = None,
+    checks: Sequence[Callable[[dict[str, Any]], list[Finding]]] = (),
 ) -> dict[str, Any]:
-    """Return the checked settings, or print every finding and exit with status 2."""
+    """Return the checked settings, or print every finding and exit with status 2.
+
+    Each of ``checks`` gets the values of the settings without a finding.
+    """
     parser = build_parser(program, description, options)
     namespace = parser.parse_args(arguments)
     texts = {
@@ -87,6 +91,8 @@
         for option in options
     }
     values, findings = check_settings(options, texts)
+    for check in checks:
+        findings.extend(check(values))
     if findings:
         sys.stderr.write(format_findings(findings) + "\n")
         sys.exit(EXIT_INVALID_SETTINGS)
