Log each request, send metrics and show the status of an entry process

One line per finished request names the customer, the backend server, the outcome, the tokens and the durations. The parts that serve a request add what they know to a trace on it, which has no place for a key, a prompt or a body. The route in the line leaves out what callers choose. Waiting lines are written by the reactor's writer interface instead of with the next line.

Weighed: lines written by each resource would have needed edits at every return; the site sees the end of every request, also of one whose connection is lost.

Checked: with the headers of each request logged on purpose, the scenario of the marked key and prompt fails in its step 'no line holds a mark'; without that it passes.

--- a/features/steps/_programs.py
+++ b/features/steps/_programs.py
@@ -27,6 +27,8 @@
         self.processes: dict[str, subprocess.Popen] = {}
         self.addresses: dict[str, str] = {}
         # Settings of all programs started, and TLS contexts by the kind of address.
+        # File that the lines of programs go to.
+        self.lines: Any = subprocess.DEVNULL
         self.environment: dict[str, str] = {}
         self.tls: dict[str, ssl.SSLContext] = {}
 
@@ -48,7 +50,7 @@
         self.processes[name] = subprocess.Popen(
             [str(BIN / program), *arguments],
             stdout=subprocess.DEVNULL,
-            stderr=subprocess.DEVNULL,
+            stderr=self.lines,
             env={**os.environ, **self.environment},
         )
 
--- /dev/null
+++ b/features/steps/telemetry_steps.py
@@ -0,0 +1,131 @@
+"""Steps of the scenarios on log lines and metrics."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import socket
+import tempfile
+import time
+
+from behave import given, then, when
+
+from features.steps.end_to_end_steps import (
+    CHAT_PATH,
+    build_prompt,
+    step_start_fleet,
+)
+
+MARK = "marked-0f3a"
+LINE_SECONDS = 5.0
+
+
+@given("a fleet with {entries:d} entry VMs whose lines and metrics are kept")
+def step_start_kept(context, entries: int) -> None:
+    context.statsd = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    context.statsd.bind(("127.0.0.1", 0))
+    context.statsd.settimeout(5)
+    context.add_cleanup(context.statsd.close)
+    port = context.statsd.getsockname()[1]
+    context.programs.environment = {"WISTERIAGW_STATSD": f"127.0.0.1:{port}"}
+    start_with_lines(context, entries)
+
+
+@given("a fleet with {entries:d} entry VMs that logs from level {level}")
+def step_start_level(context, entries: int, level: str) -> None:
+    context.programs.environment = {"WISTERIAGW_LOG_LEVEL": level}
+    start_with_lines(context, entries)
+
+
+def start_with_lines(context, entries: int) -> None:
+    """Start a fleet whose programs write their lines into one file."""
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.lines = pathlib.Path(folder.name) / "lines"
+    context.programs.lines = context.lines.open("ab")
+    context.add_cleanup(context.programs.lines.close)
+    step_start_fleet(context, entries)
+
+
+@when("a caller sends requests with marked keys, prompts and bodies")
+def step_send_marked(context) -> None:
+    prompt = build_prompt("ledger", 7)
+    prompt["messages"][0]["content"] = f"{MARK} how many visitors?"
+    requests = {
+        "stream": (CHAT_PATH, {**prompt, "stream": True}, context.key, 200),
+        "whole": (CHAT_PATH, prompt, context.key, 200),
+        "service call": (
+            "/v1/services/levy/adjustments",
+            {"account": MARK},
+            context.key,
+            200,
+        ),
+        "wrong key": (CHAT_PATH, prompt, f"key-{MARK}", 401),
+        "other service": (
+            f"/v1/services/{MARK}/x?q={MARK}",
+            {"text": MARK},
+            context.key,
+            404,
+        ),
+    }
+    for row in context.table:
+        path, body, key, expected = requests[row["request"]]
+        status, answer = context.programs.call(
+            "entry-1", "POST", path, body, Authorization=f"Bearer {key}"
+        )
+        assert status == expected, (row["request"], status, answer)
+
+
+def read_request_lines(context) -> list[dict]:
+    """Return the lines of requests but those of the scenario's own health checks."""
+    lines = [json.loads(line) for line in context.lines.read_bytes().splitlines()]
+    return [
+        line
+        for line in lines
+        if line.get("message_type") == "wisteriagw:request"
+        and line["route"] != "/healthz"
+    ]
+
+
+@then("the lines of the requests are")
+def step_check_lines(context) -> None:
+    deadline = time.monotonic() + LINE_SECONDS
+    expected = [row.as_dict() for row in context.table]
+    while len(read_request_lines(context)) < len(expected):
+        assert time.monotonic() < deadline, read_request_lines(context)
+        time.sleep(0.05)
+    lines = read_request_lines(context)
+    found = [{name: str(line[name]) for name in expected[0]} for line in lines]
+    assert found == expected, found
+    assert all(line["request_id"] for line in lines), lines
+    assert lines[0]["first_token_seconds"] <= lines[0]["seconds"], lines[0]
+
+
+@then("no line holds a mark")
+def step_check_marks(context) -> None:
+    text = context.lines.read_text(encoding="utf-8")
+    assert MARK not in text
+    assert context.key not in text
+
+
+@then("the metrics {names} arrive")
+def step_check_metrics(context, names: str) -> None:
+    wanted = set(names.replace(" and ", ", ").split(", "))
+    while wanted:
+        name = context.statsd.recv(2000).decode().partition(":")[0]
+        assert name.startswith("wisteriagw.entry.vm-1."), name
+        wanted.discard(name.removeprefix("wisteriagw.entry.vm-1."))
+
+
+@then("the status of entry VM {number:d} tells that it serves")
+def step_check_status(context, number: int) -> None:
+    code, body = context.programs.call(f"operators-{number}", "GET", "/status")
+    status = json.loads(body)
+    assert (code, status["serves"], status["permit"]) == (200, True, "log"), body
+    assert status["open_requests"] == 0, body
+    assert status["data_centre"] == f"dc{number}", body
+
+
+@then("no line of a request is written")
+def step_check_no_lines(context) -> None:
+    assert read_request_lines(context) == []
--- a/tests/support/_memory_log.py
+++ b/tests/support/_memory_log.py
@@ -34,6 +34,7 @@
         self.lose_replies = 0
         self.hold_appends = False
         self.appends = 0
+        self.unavailable_calls = 0
         self._held: list[tuple[str, bytes]] = []
 
     def append(self, stream: str, data: bytes) -> Deferred[int]:
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -5,9 +5,13 @@
 import json
 import os
 import socket
+from types import SimpleNamespace
 
 import pytest
 
+from tests.support import OperatorCalls
+from wisteriagw.entry._request_report import decide_outcome, describe_route
+from wisteriagw.entry._telemetry_wiring import TelemetryWiring
 from wisteriagw.telemetry import LineWriter, Metrics
 
 
@@ -39,6 +43,24 @@
         os.close(reader)
         os.close(descriptor)
 
+    def test_waiting_lines_are_written_without_a_new_line(self) -> None:
+        reader, descriptor = os.pipe()
+        watched: list[LineWriter] = []
+        reactor = SimpleNamespace(addWriter=watched.append, removeWriter=watched.remove)
+        writer = LineWriter(descriptor, "entry", reactor)
+        for number in range(2_000):
+            writer({"message": "x" * 100, "number": number})
+        received = b""
+        while watched:
+            assert watched == [writer]
+            received += os.read(reader, 1 << 20)
+            writer.doWrite()
+        received += os.read(reader, 1 << 20)
+        lines = [json.loads(line) for line in received.splitlines()]
+        assert [line["number"] for line in lines] == list(range(2_000))
+        os.close(reader)
+        os.close(descriptor)
+
 
 class TestMetrics:
     """Guards against metrics without a name on the page, or that fail the program."""
@@ -54,3 +76,70 @@
     def test_unknown_name_is_refused(self) -> None:
         with pytest.raises(KeyError):
             Metrics(None, "entry", "vm-1").send("requests.unknown")
+
+
+class SentMetrics:
+    """Metrics that are kept, not sent."""
+
+    def __init__(self) -> None:
+        self.sent: dict[str, float] = {}
+
+    def send(self, name: str, value: float = 1) -> None:
+        self.sent[name] = value
+
+
+class TestEntryMetrics:
+    """Guards against gauges that are stale and growth that is counted twice."""
+
+    def test_turn_sends_gauges_and_only_what_grew(self) -> None:
+        calls, metrics = OperatorCalls(), SentMetrics()
+        calls.call("customers", {"customer": "market"})
+        writer = SimpleNamespace(dropped_lines=3)
+        wiring = TelemetryWiring(calls.context, metrics, writer, log_lines=True)
+        wiring.site = SimpleNamespace(open_requests=2)
+        calls.context.retries.taken, calls.log.unavailable_calls = 5, 0
+        calls.clock.advance(1)
+        wiring.send_gauges()
+        assert metrics.sent == {
+            "requests.open": 2,
+            "config.revision": 0,
+            "config.read_age": 1,
+            "permit.held": 1,
+            "members.alive": 1,
+            "lines.dropped": 3,
+            "retries": 5,
+        }
+        metrics.sent.clear()
+        calls.context.retries.taken, calls.log.unavailable_calls = 7, 1
+        wiring.send_gauges()
+        assert (metrics.sent["retries"], metrics.sent["log.unavailable"]) == (2, 1)
+
+
+class TestRequestReport:
+    """Guards against a lost request that counts as answered, and texts of callers."""
+
+    @pytest.mark.parametrize(
+        ("not_run", "answered", "broken_off", "outcome"),
+        [
+            (None, True, False, "done"),
+            (True, True, False, "not_run"),
+            (False, True, False, "may_have_run"),
+            (None, False, True, "may_have_run"),
+            (None, False, False, "connection_lost"),
+        ],
+    )
+    def test_outcome(self, not_run, answered, broken_off, outcome) -> None:
+        found = decide_outcome(not_run, answered=answered, broken_off=broken_off)
+        assert found == outcome
+
+    @pytest.mark.parametrize(
+        ("path", "route"),
+        [
+            (b"/v1/services/levy/accounts/ann", "/v1/services"),
+            (b"/v1/ann/x", "other"),
+            (b"/healthz", "/healthz"),
+            (b"/", "other"),
+        ],
+    )
+    def test_route_holds_nothing_that_a_caller_chose(self, path, route) -> None:
+        assert describe_route(path) == route
--- a/wisteriagw/entry/_authentication.py
+++ b/wisteriagw/entry/_authentication.py
@@ -6,6 +6,7 @@
 
 from wisteriagw.config import find_customer, hash_key
 from wisteriagw.entry._caller import Caller
+from wisteriagw.entry._request_trace import get_trace
 
 if TYPE_CHECKING:
     from twisted.web.server import Request
@@ -29,4 +30,5 @@
     customer = find_customer(config, key)
     if customer is None:
         return None
+    get_trace(request).customer = customer
     return Caller(customer, hash_key(key))
--- a/wisteriagw/entry/_main.py
+++ b/wisteriagw/entry/_main.py
@@ -15,6 +15,7 @@
 from wisteriagw.calls import CallGuard, LocalBatcher
 from wisteriagw.clocks import read_boot_time, read_wall_time
 from wisteriagw.entry._addresses_resource import AddressesResource
+from wisteriagw.entry._caller_site import CallerSite
 from wisteriagw.entry._chat_resource import ChatResource
 from wisteriagw.entry._entry_context import EntryContext
 from wisteriagw.entry._health_resource import HealthResource
@@ -24,11 +25,13 @@
 from wisteriagw.entry._options import OPTIONS
 from wisteriagw.entry._requests_resource import RequestsResource
 from wisteriagw.entry._service_resource import ServiceResource
+from wisteriagw.entry._status_resource import StatusResource
+from wisteriagw.entry._telemetry_wiring import TelemetryWiring
 from wisteriagw.entry._version_resource import VersionResource
 from wisteriagw.http import BoundedRequest, HttpClient
 from wisteriagw.platform import HttpLogClient, LogUnavailableError
 from wisteriagw.settings import load_settings
-from wisteriagw.telemetry import start_logging
+from wisteriagw.telemetry import Metrics, start_logging
 from wisteriagw.transport import CALLER_TLS, FLEET_TLS, check_tls_files, load_transport
 
 logger = logging.getLogger(__name__)
@@ -50,7 +53,7 @@
     fleet_transport = load_transport(settings, FLEET_TLS)
     for transport in (caller_transport, fleet_transport):
         transport.watch_files(reactor)
-    start_logging("entry", settings["log-level"])
+    writer = start_logging("entry", settings["log-level"])
     client = HttpClient(reactor)
     log = HttpLogClient(client, settings["log"])
     context = EntryContext(
@@ -61,10 +64,25 @@
     polling = LoopingCall(_poll_config, context)
     polling.start(settings["config-poll-seconds"])
     start_membership(context, reactor, fleet_transport)
-    _listen(caller_transport, settings["listen"], build_caller_root(context))
+    telemetry = TelemetryWiring(
+        context,
+        Metrics(settings["statsd"], "entry", settings["vm"]),
+        writer,
+        log_lines=settings["log-level"] in ("debug", "info"),
+    )
+    site = CallerSite(build_caller_root(context), read_boot_time, telemetry.report)
+    telemetry.start(site)
+    caller_transport.listen(reactor, settings["listen"], site)
     operators = Resource()
     operators.putChild(b"v1", OperatorsResource(context, token))
-    _listen(fleet_transport, settings["operator-listen"], operators)
+    operators.putChild(
+        b"status",
+        StatusResource(
+            context, token, lambda: (site.open_requests, writer.dropped_lines)
+        ),
+    )
+    operator_site = Site(operators, requestFactory=BoundedRequest)
+    fleet_transport.listen(reactor, settings["operator-listen"], operator_site)
     reactor.run()
 
 
@@ -83,10 +101,6 @@
     return root
 
 
-def _listen(transport: Any, address: tuple[str, int], root: Resource) -> None:
-    transport.listen(reactor, address, Site(root, requestFactory=BoundedRequest))
-
-
 def _poll_config(context: EntryContext) -> Any:
     polled = context.poll_config()
     polled.addErrback(_log_unavailable)
--- a/wisteriagw/entry/_requests_resource.py
+++ b/wisteriagw/entry/_requests_resource.py
@@ -16,6 +16,7 @@
 from wisteriagw.entry._generation_plan import GenerationPlan
 from wisteriagw.entry._generation_relay import GenerationRelay
 from wisteriagw.entry._permit_check import refuse_without_permit
+from wisteriagw.entry._request_trace import get_trace
 from wisteriagw.entry._stream_sink import StreamSink
 from wisteriagw.http import write_error
 
@@ -65,6 +66,7 @@
             return NOT_DONE_YET
         context.callers.add(caller.key_hash, request)
         context.open_streams.add(request)
+        get_trace(request).first_index = start
         sink = StreamSink(request, request_id, "")
         plan = GenerationPlan(request_id, caller.customer, None, deadline)
         GenerationRelay(context, request, sink, plan).resume(backend_server, start)
--- a/wisteriagw/entry/_retry_ledger.py
+++ b/wisteriagw/entry/_retry_ledger.py
@@ -25,6 +25,7 @@
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
         self.budget = build_budget(clock())
+        self.taken = 0
 
     def count_request(self) -> None:
         """Add what a new request brings."""
@@ -39,4 +40,5 @@
         decision = decide_retry(outcome, idempotent, self.budget, deadline, now)
         if decision.retry:
             self.budget = take_retry(self.budget)
+            self.taken += 1
         return decision
--- a/wisteriagw/entry/_service_call.py
+++ b/wisteriagw/entry/_service_call.py
@@ -59,6 +59,8 @@
             "wisteriagw-customer": customer,
         }
         self._deadline = deadline
+        # The backend server of the last attempt.
+        self.backend_server = ""
 
     @inlineCallbacks
     def run(self) -> Generator[Deferred[Any], Any, Outcome]:
@@ -76,6 +78,7 @@
                 late = "the deadline passed before the call was sent"
                 outcome = RefusedNotRun("deadline", late)
                 break
+            self.backend_server = chosen
             outcome = yield context.client.send(
                 context.get_address(chosen),
                 self._route["method"],
--- a/wisteriagw/entry/_service_resource.py
+++ b/wisteriagw/entry/_service_resource.py
@@ -17,6 +17,7 @@
     read_deadline,
 )
 from wisteriagw.entry._permit_check import refuse_without_permit
+from wisteriagw.entry._request_trace import get_trace
 from wisteriagw.entry._result_answers import write_result
 from wisteriagw.entry._service_call import ServiceCall
 from wisteriagw.entry._service_path import parse_service_path
@@ -111,5 +112,6 @@
                 context.settings["vm"],
             )
             result = yield context.call_guard.run(claim, call.run)
+        get_trace(request).backend_server = call.backend_server
         if not request.disconnected:
             write_result(result, request)
--- a/wisteriagw/entry/_stream_sink.py
+++ b/wisteriagw/entry/_stream_sink.py
@@ -5,6 +5,7 @@
 import json
 from typing import TYPE_CHECKING, Any
 
+from wisteriagw.entry._request_trace import get_trace
 from wisteriagw.entry._result_answers import write_result
 
 if TYPE_CHECKING:
@@ -34,6 +35,7 @@
 
     def set_handle(self, handle: str) -> None:
         """Tell the caller what to resume the stream with."""
+        get_trace(self._request).set_handle(handle)
         data = handle.encode("latin-1")
         if not self.sent_tokens:
             self._request.setHeader(b"wisteriagw-request", data)
@@ -50,6 +52,7 @@
         """Send the closing chunk with the usage, and end the response."""
         if not self.sent_tokens:
             self._start()
+        get_trace(self._request).count_tokens(end)
         chunk = {
             "id": self._request_id,
             "object": "chat.completion.chunk",
@@ -71,6 +74,7 @@
         does not take it for whole.
         """
         if self.sent_tokens:
+            get_trace(self._request).broken_off = True
             self._request.transport.abortConnection()
             return
         self._request.responseHeaders.removeHeader(b"wisteriagw-request")
@@ -81,6 +85,7 @@
 
     def _start(self) -> None:
         self.sent_tokens = True
+        get_trace(self._request).first_token_at = self._request.site.clock()
         self._request.setHeader(b"content-type", b"text/event-stream")
         self._request.setHeader(b"cache-control", b"no-store")
 
--- a/wisteriagw/entry/_whole_sink.py
+++ b/wisteriagw/entry/_whole_sink.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from wisteriagw.entry._generation_text import join_tokens
+from wisteriagw.entry._request_trace import get_trace
 from wisteriagw.entry._result_answers import write_result
 from wisteriagw.entry._stream_sink import build_usage
 from wisteriagw.http import write_json
@@ -29,6 +30,7 @@
 
     def set_handle(self, handle: str) -> None:
         """Tell the caller which request this was."""
+        get_trace(self._request).set_handle(handle)
         self._request.setHeader(b"wisteriagw-request", handle.encode("latin-1"))
 
     def write_tokens(self, events: list[bytes]) -> None:
@@ -37,6 +39,7 @@
 
     def finish(self, end: StreamEnd) -> None:
         """Send the whole answer; raises ValueError if the tokens are not valid."""
+        get_trace(self._request).count_tokens(end)
         message = {"role": "assistant", "content": join_tokens(self._events)}
         choice = {
             "index": 0,
--- a/wisteriagw/http/_bounded_request.py
+++ b/wisteriagw/http/_bounded_request.py
@@ -14,8 +14,17 @@
     """Request whose body stays in memory and under a bound.
 
     The base class spools bodies to a file, and the VMs have no disks.
+
+    Attributes
+    ----------
+    error_code : str
+        Code of the error that it was answered with.
+    not_run : bool or None
+        What the error said; None without one.
     """
 
+    error_code = ""
+    not_run: bool | None = None
     body_too_large = False
     disconnected = False
 
--- a/wisteriagw/http/_replies.py
+++ b/wisteriagw/http/_replies.py
@@ -21,5 +21,6 @@
     request: Request, status: int, code: str, message: str, *, not_run: bool
 ) -> None:
     """Finish a request with an error that says whether the request was run."""
+    request.error_code, request.not_run = code, not_run
     error = {"code": code, "message": message, "not_run": not_run}
     write_json(request, status, {"error": error})
--- a/wisteriagw/platform/_http_log_client.py
+++ b/wisteriagw/platform/_http_log_client.py
@@ -33,11 +33,17 @@
         Client that carries the calls.
     address : tuple of str and int
         IP address and port of the log.
+
+    Attributes
+    ----------
+    unavailable_calls : int
+        Calls that failed since the start.
     """
 
     def __init__(self, client: HttpClient, address: tuple[str, int]) -> None:
         self._client = client
         self._address = address
+        self.unavailable_calls = 0
 
     @inlineCallbacks
     def append(self, stream: str, data: bytes) -> Generator[Deferred[Any], Any, int]:
@@ -49,7 +55,7 @@
             body=data,
             timeout=LOG_TIMEOUT_SECONDS,
         )
-        return int(_decode_reply(outcome)["offset"])
+        return int(self._decode(outcome)["offset"])
 
     @inlineCallbacks
     def read(
@@ -62,13 +68,20 @@
             f"/streams/{stream}?from={start}&limit={limit}",
             timeout=LOG_TIMEOUT_SECONDS,
         )
-        reply = _decode_reply(outcome)
+        reply = self._decode(outcome)
         return LogPage(
             first_offset=reply["first_offset"],
             next_offset=reply["next_offset"],
             records=tuple(LogRecord(*pair) for pair in reply["records"]),
         )
 
+    def _decode(self, outcome: Outcome) -> dict[str, Any]:
+        try:
+            return _decode_reply(outcome)
+        except LogUnavailableError:
+            self.unavailable_calls += 1
+            raise
+
 
 def _decode_reply(outcome: Outcome) -> dict[str, Any]:
     if not isinstance(outcome, Done):
--- a/wisteriagw/telemetry/_line_writer.py
+++ b/wisteriagw/telemetry/_line_writer.py
@@ -14,14 +14,26 @@
     """Eliot destination that writes JSON lines to a non-blocking descriptor.
 
     A reader that does not keep up costs lines, which are counted, and never time.
+
+    Parameters
+    ----------
+    descriptor : int
+        Where lines go; it becomes non-blocking.
+    program : str
+        Name of the program in each line.
+    reactor : IReactorFDSet, optional
+        Tells when the descriptor takes lines again. Without it lines wait for the next
+        line.
     """
 
-    def __init__(self, descriptor: int, program: str) -> None:
+    def __init__(self, descriptor: int, program: str, reactor: Any = None) -> None:
         os.set_blocking(descriptor, False)
         self.dropped_lines = 0
         self._descriptor = descriptor
         self._program = program
         self._lines: deque[bytes] = deque()
+        self._reactor = reactor
+        self._watching = False
 
     def __call__(self, message: dict[str, Any]) -> None:
         """Write a message, or keep it until the descriptor takes it."""
@@ -30,7 +42,34 @@
             return
         fields = {"program": self._program, **message}
         self._lines.append(json.dumps(fields, default=str).encode("utf-8") + b"\n")
+        if not self._watching:
+            self.doWrite()
+
+    def fileno(self) -> int:
+        """Return the descriptor that the reactor watches."""
+        return self._descriptor
+
+    def doWrite(self) -> None:
+        """Write what the descriptor takes, and have the reactor watch for the rest."""
         self._flush()
+        waiting = bool(self._lines)
+        if self._reactor is None or waiting == self._watching:
+            return
+        self._watching = waiting
+        if waiting:
+            self._reactor.addWriter(self)
+        else:
+            self._reactor.removeWriter(self)
+
+    def connectionLost(self, reason: Any) -> None:
+        """Drop the lines: the reader has closed the descriptor."""
+        self._watching = False
+        self.dropped_lines += len(self._lines)
+        self._lines.clear()
+
+    def logPrefix(self) -> str:
+        """Return the name that Twisted logs for this writer."""
+        return "log lines"
 
     def _flush(self) -> None:
         while self._lines:
--- a/wisteriagw/telemetry/_metric_table.py
+++ b/wisteriagw/telemetry/_metric_table.py
@@ -12,7 +12,7 @@
     ),
     Metric("requests.first_token", "timer", "ms", "Time to the first token."),
     Metric("requests.open", "gauge", "requests", "Requests being served."),
-    Metric("tokens.generated", "counter", "tokens", "Tokens sent to callers."),
+    Metric("tokens.generated", "counter", "tokens", "Tokens of whole answers."),
     Metric("retries", "counter", "attempts", "Attempts after the first."),
     Metric("config.revision", "gauge", "offset", "Revision of the configuration."),
     Metric("config.read_age", "gauge", "s", "Age of the last read to the log's tip."),
--- a/wisteriagw/telemetry/_start.py
+++ b/wisteriagw/telemetry/_start.py
@@ -7,13 +7,14 @@
 
 import eliot
 from eliot.stdlib import EliotHandler
+from twisted.internet import reactor
 
 from wisteriagw.telemetry._line_writer import LineWriter
 
 
 def start_logging(program: str, level: str = "info") -> LineWriter:
     """Send eliot messages and the module loggers to standard error as JSON lines."""
-    writer = LineWriter(sys.stderr.fileno(), program)
+    writer = LineWriter(sys.stderr.fileno(), program, reactor)
     eliot.add_destinations(writer)
     root = logging.getLogger("wisteriagw")
     root.addHandler(EliotHandler())
