--- a/tests/support/_loopback_fleet.py
+++ b/tests/support/_loopback_fleet.py
@@ -16,6 +16,7 @@
 from wisteriagw.calls import CallGuard, LocalBatcher
 from wisteriagw.clocks import read_boot_time, read_wall_time
 from wisteriagw.config import hash_key
+from wisteriagw.entry._caller_site import CallerSite
 from wisteriagw.entry._dispatch_adapter import DispatchAdapter
 from wisteriagw.entry._entry_context import EntryContext
 from wisteriagw.entry._main import build_caller_root
@@ -33,6 +34,8 @@
 if TYPE_CHECKING:
     from twisted.web.resource import Resource
 
+    from wisteriagw.entry._request_report import RequestReport
+
 CUSTOMERS = ("market", "office")
 ENGINE_TICK_SECONDS = 0.002
 
@@ -44,6 +47,7 @@
         self.log = MemoryLog()
         self.client = HttpClient(reactor)
         self.contexts: list[EntryContext] = []
+        self.reports: list[RequestReport] = []
         self._case = case
         self._servers: list[dict[str, Any]] = []
         case.addCleanup(self._clean_up)
@@ -107,7 +111,9 @@
             context.dispatch = DispatchAdapter(context, reactor.callLater)
             context.config_follower.poll()
             self.contexts.append(context)
-            site = Site(build_caller_root(context), requestFactory=BoundedRequest)
+            site = CallerSite(
+                build_caller_root(context), read_boot_time, self.reports.append
+            )
             addresses.append(self._listen(site))
         return addresses
 
--- a/wisteriagw/entry/_dispatch_adapter.py
+++ b/wisteriagw/entry/_dispatch_adapter.py
@@ -17,6 +17,7 @@
     from twisted.web.server import Request
 
     from wisteriagw.entry._entry_context import EntryContext
+    from wisteriagw.membership import BackendSign
     from wisteriagw.routing import RouteRequest, RoutingDecision
 
 FIRST_TOKEN_SECONDS = 1.6
@@ -46,7 +47,7 @@
         self.dispatcher = Dispatcher(table, {}, secrets.randbelow)
         self._waiting: dict[str, Deferred[RoutingDecision | Refusal]] = {}
         self._revision: int | None = None
-        self._signs: dict[str, int] = {}
+        self._signs: dict[str, BackendSign] = {}
         self._pump_due = False
 
     def place(
--- a/wisteriagw/entry/_main.py
+++ b/wisteriagw/entry/_main.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+import gc
 import logging
 import signal
-import sys
 from collections import Counter
 from functools import partial
 from typing import Any
@@ -18,6 +18,7 @@
 from wisteriagw.clocks import read_boot_time, read_wall_time
 from wisteriagw.entry._addresses_resource import AddressesResource
 from wisteriagw.entry._caller_root import CallerRoot
+from wisteriagw.entry._caller_site import CallerSite
 from wisteriagw.entry._chat_resource import ChatResource
 from wisteriagw.entry._dispatch_adapter import DispatchAdapter
 from wisteriagw.entry._entry_context import EntryContext
@@ -29,28 +30,36 @@
 from wisteriagw.entry._options import OPTIONS
 from wisteriagw.entry._requests_resource import RequestsResource
 from wisteriagw.entry._service_resource import ServiceResource
+from wisteriagw.entry._status_resource import StatusResource
+from wisteriagw.entry._telemetry_wiring import TelemetryWiring
 from wisteriagw.entry._usage_wiring import UsageWiring, start_usage
 from wisteriagw.entry._version_resource import VersionResource
-from wisteriagw.findings import format_findings
 from wisteriagw.http import BoundedRequest, HttpClient, PathResource
 from wisteriagw.platform import HttpLogClient, LogUnavailableError
-from wisteriagw.settings import EXIT_INVALID_SETTINGS, load_settings
-from wisteriagw.telemetry import start_logging
+from wisteriagw.settings import load_settings
+from wisteriagw.telemetry import Metrics, start_logging
+from wisteriagw.transport import CALLER_TLS, FLEET_TLS, check_tls_files, load_transport
 
 logger = logging.getLogger(__name__)
 
 PROGRAM = "wisteriagw-entry"
 DESCRIPTION = "Carries requests of callers to backend servers."
+CHECKS = (
+    lambda settings: load_operator_token(settings)[1],
+    partial(check_tls_files, names=CALLER_TLS),
+    partial(check_tls_files, names=FLEET_TLS),
+)
 
 
 def main() -> None:
     """Run the entry program."""
-    settings = load_settings(PROGRAM, DESCRIPTION, OPTIONS)
-    token, findings = load_operator_token(settings)
-    if findings:
-        sys.stderr.write(format_findings(findings) + "\n")
-        sys.exit(EXIT_INVALID_SETTINGS)
-    start_logging("entry", settings["log-level"])
+    settings = load_settings(PROGRAM, DESCRIPTION, OPTIONS, checks=CHECKS)
+    token, _ = load_operator_token(settings)
+    caller_transport = load_transport(settings, CALLER_TLS)
+    fleet_transport = load_transport(settings, FLEET_TLS)
+    for transport in (caller_transport, fleet_transport):
+        transport.watch_files(reactor)
+    writer = start_logging("entry", settings["log-level"])
     client = HttpClient(reactor)
     log = HttpLogClient(client, settings["log"])
     context = EntryContext(
@@ -63,11 +72,29 @@
     polling.start(settings["config-poll-seconds"])
     usage = UsageWiring(context)
     start_usage(usage, reactor)
-    start_membership(context, reactor, usage)
-    _listen(settings["listen"], build_caller_root(context))
+    start_membership(context, reactor, usage, fleet_transport)
+    telemetry = TelemetryWiring(
+        context,
+        Metrics(settings["statsd"], "entry", settings["vm"]),
+        writer,
+        log_lines=settings["log-level"] in ("debug", "info"),
+    )
+    site = CallerSite(build_caller_root(context), read_boot_time, telemetry.report)
+    telemetry.start(site)
+    caller_transport.listen(reactor, settings["listen"], site)
     operators = Resource()
     operators.putChild(b"v1", OperatorsResource(context, token))
-    _listen(settings["operator-listen"], operators)
+    operators.putChild(
+        b"status",
+        StatusResource(
+            context, token, lambda: (site.open_requests, writer.dropped_lines)
+        ),
+    )
+    operator_site = Site(operators, requestFactory=BoundedRequest)
+    fleet_transport.listen(reactor, settings["operator-listen"], operator_site)
+    # Full collections walk the objects of all modules and block the loop for 30 ms.
+    gc.collect()
+    gc.freeze()
     reactor.callWhenRunning(_catch_termination, context)
     reactor.run()
 
@@ -98,11 +125,6 @@
     context.shutdown.begin()
 
 
-def _listen(address: tuple[str, int], root: Resource) -> None:
-    host, port = address
-    reactor.listenTCP(port, Site(root, requestFactory=BoundedRequest), interface=host)
-
-
 def _poll_config(context: EntryContext) -> Any:
     polled = context.poll_config()
     polled.addErrback(_log_unavailable)
--- a/wisteriagw/entry/_membership_wiring.py
+++ b/wisteriagw/entry/_membership_wiring.py
@@ -50,14 +50,16 @@
 )
 
 
-def start_membership(context: EntryContext, reactor: Any, usage: UsageWiring) -> None:
+def start_membership(
+    context: EntryContext, reactor: Any, usage: UsageWiring, transport: Any = None
+) -> None:
     """Start what keeps the membership of an entry process up to date."""
     _start_permit_watch(context)
     settings = context.settings
     if settings["vm-list"] is None:
         return
     host, port = settings["mesh-listen"] or (settings["listen"][0], DEFAULT_MESH_PORT)
-    mesh = Mesh(reactor, settings["vm"])
+    mesh = Mesh(reactor, settings["vm"], transport)
     mesh.listen(host, port)
     context.mesh = mesh
     usage_handlers = {UsageCopy: usage.handle_copy, UsageCopyAck: usage.handle_ack}
--- a/wisteriagw/membership/__init__.py
+++ b/wisteriagw/membership/__init__.py
@@ -5,6 +5,7 @@
 from wisteriagw.membership._acceptance import Acceptance
 from wisteriagw.membership._acceptance_decision import decide_acceptance
 from wisteriagw.membership._addresses import choose_entry_vms
+from wisteriagw.membership._backend_sign import BackendSign
 from wisteriagw.membership._confirmation import Confirmation
 from wisteriagw.membership._confirmations import (
     CONFIRMATION_SECONDS,
@@ -59,6 +60,7 @@
 from wisteriagw.membership._vm_status import VmStatus
 
 __all__ = [
+    "BackendSign",
     "PERMIT_SECONDS",
     "SUMMARY_SECONDS",
     "Acceptance",
