Recover the configuration from peers and checkpoints in every order of failures

A peer that started from a checkpoint had a gap in the records it keeps for others; a VM that took them lost the records in the gap for good. The history now starts anew at a gap, and a VM that lacks older records gets the whole state from a peer. The holder of the fleet authority writes the checkpoints of the configuration.

--- a/tests/support/_simulated_vm.py
+++ b/tests/support/_simulated_vm.py
@@ -5,7 +5,7 @@
 from typing import Any, NamedTuple
 
 from tests.support._memory_log import MemoryLog
-from wisteriagw.config import apply_record, build_empty_config
+from wisteriagw.config import CONFIG_CODEC, apply_record, build_empty_config
 from wisteriagw.follower import RecordHistory, StreamFollower
 from wisteriagw.membership import Membership, build_membership
 
@@ -26,7 +26,13 @@
     log.store = store
     history = RecordHistory(1_000_000)
     follower = StreamFollower(
-        log, "config", build_empty_config(), apply_record, clock, history=history
+        log,
+        "config",
+        build_empty_config(),
+        apply_record,
+        clock,
+        CONFIG_CODEC,
+        history=history,
     )
     now = clock()
     state = build_membership(name, data_centre, "127.0.0.1", incarnation, now)
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -4,7 +4,7 @@
 
 from tests.support import MemoryLog, VirtualClock
 from wisteriagw.config import apply_record, build_empty_config
-from wisteriagw.follower import StreamFollower
+from wisteriagw.follower import RecordHistory, StreamFollower
 from wisteriagw.platform import LogUnavailableError
 from wisteriagw.records import CustomerCreated, encode_record
 
@@ -14,6 +14,17 @@
     return StreamFollower(log, "config", build_empty_config(), apply_record, clock)
 
 
+class TestRecordHistory:
+    """Guards against records with a gap between them, which lose a change for good."""
+
+    def test_gap_starts_the_history_anew(self) -> None:
+        history = RecordHistory(1_000)
+        for offset in (0, 1, 7, 8):
+            history.add(offset, b"x")
+        assert history.list_from(0, 1_000) == ()
+        assert history.list_from(7, 1_000) == ((7, b"x"), (8, b"x"))
+
+
 class TestStreamFollower:
     """Guards against a reader that stops at garbage or takes an outage for the tip."""
 
--- a/tests/test_permit.py
+++ b/tests/test_permit.py
@@ -20,7 +20,7 @@
     decide_permit,
 )
 from wisteriagw.messages import ConfigRecords
-from wisteriagw.records import KeyWithdrawn, encode_record
+from wisteriagw.records import CustomerCreated, KeyWithdrawn, encode_record
 
 NOW = 100.0
 FRESH, STALE = NOW - 3.0, NOW - 3.1
@@ -230,6 +230,24 @@
         assert "vm-1" in mesh.list_serving()
         assert mesh.vms["vm-1"].membership.follower.state.revision == offset
 
+    def test_vm_takes_the_whole_state_when_peers_lack_the_first_records(self) -> None:
+        mesh = SimulatedMesh(VMS)
+        mesh.store.append("config", encode_record(CustomerCreated("a", "ann", "n")))
+        last = mesh.store.append(
+            "config", encode_record(CustomerCreated("b", "ann", "n"))
+        )
+        mesh.run(4)
+        for vm in mesh.vms.values():
+            # As after a start from a checkpoint through the first record.
+            vm.membership.history.add(last, b"")
+            vm.membership.history.add(last + 1, b"")
+        mesh.log_down = True
+        mesh.run(10)
+        mesh.restart("vm-1")
+        mesh.run(10)
+        assert mesh.vms["vm-1"].membership.follower.state.customers == {"a", "b"}
+        assert "vm-1" in mesh.list_serving()
+
     def test_lone_vm_stops_after_3_seconds(self) -> None:
         mesh = SimulatedMesh(VMS)
         mesh.run(4)
--- a/wisteriagw/checkpoints/__init__.py
+++ b/wisteriagw/checkpoints/__init__.py
@@ -14,8 +14,14 @@
 from wisteriagw.checkpoints._due import is_checkpoint_due
 from wisteriagw.checkpoints._parts import split_state
 from wisteriagw.checkpoints._retention import Retention
+from wisteriagw.checkpoints._retention_options import (
+    RETENTION_OPTIONS,
+    build_retention,
+)
 
 __all__ = [
+    "RETENTION_OPTIONS",
+    "build_retention",
     "Checkpoint",
     "CheckpointCodec",
     "CheckpointProgress",
--- a/wisteriagw/control/_control_context.py
+++ b/wisteriagw/control/_control_context.py
@@ -5,13 +5,14 @@
 from typing import TYPE_CHECKING, Any
 
 from wisteriagw.audit import AuditWriter
-from wisteriagw.config import apply_record, build_empty_config
+from wisteriagw.checkpoints import build_retention
+from wisteriagw.config import CONFIG_CODEC, apply_record, build_empty_config
 from wisteriagw.control._authority import Authority
 from wisteriagw.control._engine_report import EngineReport
 from wisteriagw.control._engines_client import EnginesClient
 from wisteriagw.control._fleet_view import FleetView
 from wisteriagw.control._receiver import Receiver
-from wisteriagw.follower import StreamFollower
+from wisteriagw.follower import CheckpointWriter, StreamFollower
 from wisteriagw.orders import apply_record as apply_order_record
 from wisteriagw.platform import BackendsClient, VmListClient
 
@@ -51,7 +52,15 @@
         self.backends = Receiver()
         self.engines: dict[str, Receiver] = {}
         self.config_follower = StreamFollower(
-            log, CONFIG_STREAM, build_empty_config(), apply_record, clock
+            log,
+            CONFIG_STREAM,
+            build_empty_config(),
+            apply_record,
+            clock,
+            CONFIG_CODEC,
+        )
+        self.checkpoints = CheckpointWriter(
+            log, self.config_follower, build_retention(settings), clock
         )
         self.orders_follower = StreamFollower(
             log, ORDERS_STREAM, {}, apply_order_record, clock
--- a/wisteriagw/control/_main.py
+++ b/wisteriagw/control/_main.py
@@ -121,6 +121,7 @@
     except LogUnavailableError as error:
         logger.warning("the orders of this turn wait for the log: %s", error)
     yield context.audit.flush()
+    yield context.checkpoints.write_if_due()
 
 
 @inlineCallbacks
--- a/wisteriagw/control/_options.py
+++ b/wisteriagw/control/_options.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from wisteriagw.checkpoints import RETENTION_OPTIONS
 from wisteriagw.settings import AddressKind, ChoiceKind, NumberKind, Option, TextKind
 
 OPTIONS = (
@@ -40,6 +41,7 @@
         "2",
         "Time between two turns of the planner.",
     ),
+    *RETENTION_OPTIONS,
     Option(
         "log-level",
         ChoiceKind(("debug", "info", "warning", "error")),
--- a/wisteriagw/entry/_membership_wiring.py
+++ b/wisteriagw/entry/_membership_wiring.py
@@ -18,6 +18,7 @@
 from wisteriagw.messages import (
     ConfigRecords,
     ConfigRequest,
+    ConfigSnapshot,
     DigestPush,
     Heartbeat,
     ProbeReply,
@@ -43,6 +44,7 @@
 MESSAGE_TYPES = (
     ConfigRecords,
     ConfigRequest,
+    ConfigSnapshot,
     DigestPush,
     Heartbeat,
     ProbeReply,
@@ -83,6 +85,8 @@
     ]
     mesh.set_peers(PeerAddress(vm, state.members[vm].host, port) for vm in names)
     membership.tick()
+    # A configuration that came whole from a peer skips the records of withdrawals.
+    context.callers.end_withdrawn(context.config.key_customers)
 
 
 @inlineCallbacks
--- a/wisteriagw/follower/_record_history.py
+++ b/wisteriagw/follower/_record_history.py
@@ -17,7 +17,14 @@
         self._records: deque[tuple[int, bytes]] = deque()
 
     def add(self, offset: int, data: bytes) -> None:
-        """Keep a record; the oldest ones make room for it."""
+        """Keep a record; the oldest ones make room for it.
+
+        A record that does not follow the last one starts the history anew: after a
+        start from a checkpoint, a peer must not get records with a gap between them.
+        """
+        if self._records and offset != self._records[-1][0] + 1:
+            self._records.clear()
+            self._size = 0
         self._records.append((offset, data))
         self._size += len(data)
         while self._size > self._max_bytes and len(self._records) > 1:
--- a/wisteriagw/follower/_stream_follower.py
+++ b/wisteriagw/follower/_stream_follower.py
@@ -18,7 +18,7 @@
 
     from twisted.internet.defer import Deferred
 
-    from wisteriagw.checkpoints import Checkpoint, CheckpointCodec
+    from wisteriagw.checkpoints import CheckpointCodec
     from wisteriagw.follower._record_history import RecordHistory
     from wisteriagw.platform import LogClient, LogRecord
 
@@ -144,7 +144,9 @@
             self._client, self.stream, self.codec.fold, self.next_offset
         )
         checkpoint = result.checkpoint
-        if checkpoint is not None and self._load(checkpoint):
+        if checkpoint is not None and self.load_state(
+            checkpoint.through, checkpoint.data
+        ):
             self._parts = result.collection
             self._newest_seen_at = self._clock()
             return True
@@ -161,19 +163,20 @@
             return False
         return True
 
-    def _load(self, checkpoint: Checkpoint) -> bool:
-        if checkpoint.through < self.next_offset:
+    def load_state(self, through: int, data: bytes) -> bool:
+        """Replace an older state by an encoded one; gives whether it was newer."""
+        if through < self.next_offset:
             # Another poll went on during the search, or nothing is newer.
             return False
         try:
-            state = self.codec.decode(checkpoint.data)
+            state = self.codec.decode(data)
         except ValueError as error:
-            place = f"{self.stream}, checkpoint through {checkpoint.through}"
+            place = f"{self.stream}, state through {through}"
             self.findings.append(Finding(place, str(error)))
             logger.warning("skipped %s: %s", place, error)
             return False
         self.state = state
-        self.next_offset = checkpoint.through + 1
+        self.next_offset = through + 1
         self.state_incomplete = False
         return True
 
--- a/wisteriagw/membership/_handling.py
+++ b/wisteriagw/membership/_handling.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from functools import singledispatch
 from typing import TYPE_CHECKING, Any
 
@@ -11,6 +12,7 @@
 from wisteriagw.messages import (
     ConfigRecords,
     ConfigRequest,
+    ConfigSnapshot,
     DigestPush,
     Heartbeat,
     ProbeReply,
@@ -20,8 +22,12 @@
 if TYPE_CHECKING:
     from wisteriagw.membership._membership import Membership
 
+logger = logging.getLogger(__name__)
+
 # A page stays well under the bound of a mesh frame.
 MAX_RECORDS_BYTES = 256 * 1024
+# 2,400 keys and 1,500 backend servers take about 350 KB.
+MAX_SNAPSHOT_BYTES = 768 * 1024
 CONFIG_REQUEST_SECONDS = 0.2
 
 
@@ -57,6 +63,18 @@
     records = membership.history.list_from(message.start, MAX_RECORDS_BYTES)
     if records:
         membership.send(sender, ConfigRecords(message.start, records))
+        return
+    follower = membership.follower
+    if follower.codec is None or follower.state_incomplete:
+        return
+    if message.start >= follower.next_offset:
+        return
+    data = follower.codec.encode(follower.state)
+    if len(data) > MAX_SNAPSHOT_BYTES:
+        logger.warning("the configuration is too large for a peer: %d bytes", len(data))
+        return
+    through = follower.next_offset - 1
+    membership.send(sender, ConfigSnapshot(through, follower.codec.fold, data))
 
 
 @handle_message.register(ConfigRecords)
@@ -71,6 +89,15 @@
         membership.send(sender, ConfigRequest(follower.next_offset))
 
 
+@handle_message.register(ConfigSnapshot)
+def _(message: ConfigSnapshot, membership: Membership, sender: str) -> None:
+    follower = membership.follower
+    if follower.codec is None or message.fold != follower.codec.fold:
+        return
+    if follower.load_state(message.through, message.data):
+        membership.send(sender, ConfigRequest(follower.next_offset))
+
+
 @handle_message.register(ProbeRequest)
 def _(message: ProbeRequest, membership: Membership, sender: str) -> None:
     answer = decide_probe_answer(membership.state, message.target, membership.clock())
--- a/wisteriagw/messages/__init__.py
+++ b/wisteriagw/messages/__init__.py
@@ -5,6 +5,7 @@
 from wisteriagw.messages._codec import decode_message, encode_message
 from wisteriagw.messages._config_records import ConfigRecords
 from wisteriagw.messages._config_request import ConfigRequest
+from wisteriagw.messages._config_snapshot import ConfigSnapshot
 from wisteriagw.messages._digest_push import DigestPush
 from wisteriagw.messages._heartbeat import Heartbeat
 from wisteriagw.messages._probe_reply import ProbeReply
@@ -16,6 +17,7 @@
 __all__ = [
     "ConfigRecords",
     "ConfigRequest",
+    "ConfigSnapshot",
     "DigestPush",
     "Heartbeat",
     "ProbeReply",
--- a/wisteriagw/reporter/_options.py
+++ b/wisteriagw/reporter/_options.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from wisteriagw.checkpoints import RETENTION_OPTIONS
 from wisteriagw.settings import (
     AddressKind,
     ChoiceKind,
@@ -52,18 +53,7 @@
         "0.5",
         "Time between two turns of the program.",
     ),
-    Option(
-        "log-retention-records",
-        IntegerKind(10, 100_000_000, "records"),
-        "100000",
-        "Records of a stream that the log keeps.",
-    ),
-    Option(
-        "log-retention-seconds",
-        NumberKind(60.0, 1e8, "s"),
-        "86400",
-        "Time for which the log keeps a record.",
-    ),
+    *RETENTION_OPTIONS,
     Option(
         "log-level",
         ChoiceKind(("debug", "info", "warning", "error")),
--- a/wisteriagw/reporter/_reporter_context.py
+++ b/wisteriagw/reporter/_reporter_context.py
@@ -5,7 +5,7 @@
 import secrets
 from typing import TYPE_CHECKING, Any
 
-from wisteriagw.checkpoints import Retention
+from wisteriagw.checkpoints import build_retention
 from wisteriagw.clocks import read_boot_time, read_wall_time
 from wisteriagw.follower import CheckpointWriter, StreamFollower
 from wisteriagw.leases import LeaseKeeper, ProcessIdentity
@@ -34,9 +34,7 @@
             settings["vm"], secrets.token_hex(INCARNATION_BYTES), f"{host}:{port}"
         )
         log = HttpLogClient(client, settings["log"])
-        retention = Retention(
-            settings["log-retention-records"], settings["log-retention-seconds"]
-        )
+        retention = build_retention(settings)
         self.settings = settings
         self.clock = read_boot_time
         self.vm_list = VmListClient(client, settings["vm-list"])
