Bill a cancel only when the generation has ended for the caller

A cancel that goes before a restart or a continuation elsewhere may be answered after the continuation has ended; its figures hold tokens that were never sent to the caller. Only the cancel of an abandoned or overdue request is counted now.

--- a/tests/test_usage_recording.py
+++ b/tests/test_usage_recording.py
@@ -242,6 +242,16 @@
             ["r", 10, "large", 10, 0, 5, 0]
         ]
 
+    def test_generation_that_is_open_at_shutdown_counts_and_may_still_end(self) -> None:
+        recorder = UsageRecorder("vm-0", VirtualClock(600.0), 60)
+        usage = recorder.track(GenerationPlan("r", "large", "chat", 0.0))
+        usage.next_index = 3
+        recorder.count_open()
+        assert recorder.counter.cut_partial().requests[0][5] == 3
+        figures = dict(zip(FIGURE_NAMES, (10, 0, 9), strict=True))
+        usage.finish({**figures, "ended_before": False})
+        assert recorder.counter.cut_partial().requests[0][5] == 9
+
     def test_later_smaller_figures_of_a_request_change_nothing(self) -> None:
         counter = UsageCounter("vm-0", "i")
         for generated in (9, 4):
--- a/wisteriagw/entry/_generation_relay.py
+++ b/wisteriagw/entry/_generation_relay.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any
 from urllib.parse import quote, urlencode
 
-from twisted.internet.defer import inlineCallbacks
+from twisted.internet.defer import inlineCallbacks, succeed
 
 from wisteriagw.backends import GenerateRequest, StreamPosition
 from wisteriagw.entry._event_reader import EventReader
@@ -308,7 +308,7 @@
         self._timer = None
         if self._over:
             return
-        self._send_cancel()
+        self._cancel_counted()
         self._refuse(MayHaveRun("the answer did not come before the deadline"))
 
     def _abandon(self) -> None:
@@ -317,7 +317,7 @@
             return
         self._close()
         wait = KEEP_FOR_RESUME_SECONDS if self._sink.can_resume else 0.0
-        self._context.client.reactor.callLater(wait, self._send_cancel)
+        self._context.client.reactor.callLater(wait, self._cancel_counted)
 
     def _close(self) -> None:
         self._over = True
@@ -335,19 +335,23 @@
         self._timer.cancel()
         self._timer = None
 
-    def _send_cancel(self) -> None:
+    def _cancel_counted(self) -> None:
+        """Cancel for good; what the engine says that it generated is billed."""
+        self._send_cancel().addCallback(self._usage.read_cancel)
+
+    def _send_cancel(self) -> Deferred[Any]:
         """Cancel the generation unless another request has taken it over since."""
         address = self._context.get_address(self._backend_server)
         if address is None:
-            return
+            return succeed(None)
         body = {
             "request_id": self._plan.request_id,
             "customer": self._plan.customer,
             "attempt": self._position.attempt.decode("ascii"),
         }
         data = json.dumps(body).encode("utf-8")
-        sent = self._context.client.send(address, "POST", "/cancel", data, timeout=2.0)
-        sent.addCallback(self._usage.read_cancel)
+        send = self._context.client.send
+        return send(address, "POST", "/cancel", data, timeout=2.0)
 
     def _apply_pause(self) -> None:
         if self._reader is None or self._reader.transport is None:
--- a/wisteriagw/entry/_generation_usage.py
+++ b/wisteriagw/entry/_generation_usage.py
@@ -68,8 +68,13 @@
 
     def stop(self) -> None:
         """Count what is known of a generation that ends here without its end."""
+        if not self._close():
+            self.count_known()
+
+    def count_known(self) -> None:
+        """Count the figures known so far; larger ones may follow."""
         self.interrupt()
-        if self._close() or self._generated == 0:
+        if self._generated == 0:
             return
         known = (self._prompt_tokens, self._cached_tokens, self._generated)
         figures = dict(zip(FIGURE_NAMES, known, strict=True))
--- a/wisteriagw/entry/_usage_recorder.py
+++ b/wisteriagw/entry/_usage_recorder.py
@@ -89,7 +89,7 @@
         # call is repeated by its caller and is counted when it is answered.
         return not idempotent
 
-    def stop_all(self) -> None:
-        """Count what is known of the generations that the shutdown ends."""
-        for usage in list(self.open_generations):
-            usage.stop()
+    def count_open(self) -> None:
+        """Count what is known of the generations that the shutdown may end."""
+        for usage in self.open_generations:
+            usage.count_known()
--- a/wisteriagw/entry/_usage_wiring.py
+++ b/wisteriagw/entry/_usage_wiring.py
@@ -118,7 +118,7 @@
     def shut_down(self) -> Generator[Deferred[Any], Any, None]:
         """Append everything, or wait until peers have copies if the log is down."""
         context = self._context
-        context.usage.stop_all()
+        context.usage.count_open()
         deadline = context.clock() + SHUTDOWN_SECONDS
         while context.clock() < deadline:
             self.cut()
