--- a/features/steps/usage_steps.py
+++ b/features/steps/usage_steps.py
@@ -22,6 +22,7 @@
 COPIED_SECONDS = 1.5
 FIGURES = ("prompt_tokens", "cached_tokens", "generated_tokens")
 WINDOW_OPTION = f"--usage-window-seconds={WINDOW_SECONDS}"
+DRAIN_OPTION = "--drain-seconds=1"
 
 
 @given("a mesh of {entries:d} entry VMs that count usage, and usage processes on 2 VMs")
@@ -30,7 +31,7 @@
     programs.start(
         "usage", "wisteriagw-standin-usage", "--listen", programs.reserve("usage")
     )
-    context.key = start_mesh_fleet(programs, entries, WINDOW_OPTION)
+    context.key = start_mesh_fleet(programs, entries, WINDOW_OPTION, DRAIN_OPTION)
     addresses = programs.addresses
     for number in (1, 2):
         name = f"reporter-{number}"
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -53,6 +53,8 @@
         keeper = LeaseKeeper(self.log, "fleet", identity, self.clock)
         values = {"vm": vm, "vm-list": VM_LIST, "backends": BACKENDS}
         values["backends-check-fencing"] = "false"
+        values["log-retention-records"] = 1000
+        values["log-retention-seconds"] = 1000.0
         return ControlContext(values, self.platform, self.log, keeper, self.clock)
 
     def run(self, order, turns: int = 8, *numbers: int) -> None:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -272,7 +272,7 @@
             call
             for call in reactor.getDelayedCalls()
             if 25 < call.getTime() - reactor.seconds() <= 30
-            and call.func.__name__ == "_send_cancel"
+            and call.func.__name__ == "_cancel_counted"
         ]
         self.assertEqual(len(waits), 1)
         waits[0].reset(0)
--- a/tests/test_usage_recording.py
+++ b/tests/test_usage_recording.py
@@ -242,6 +242,16 @@
             ["r", 10, "large", 10, 0, 5, 0]
         ]
 
+    def test_generation_that_is_open_at_shutdown_counts_and_may_still_end(self) -> None:
+        recorder = UsageRecorder("vm-0", VirtualClock(600.0), 60)
+        usage = recorder.track(GenerationPlan("r", "large", "chat", 0.0))
+        usage.next_index = 3
+        recorder.count_open()
+        assert recorder.counter.cut_partial().requests[0][5] == 3
+        figures = dict(zip(FIGURE_NAMES, (10, 0, 9), strict=True))
+        usage.finish({**figures, "ended_before": False})
+        assert recorder.counter.cut_partial().requests[0][5] == 9
+
     def test_later_smaller_figures_of_a_request_change_nothing(self) -> None:
         counter = UsageCounter("vm-0", "i")
         for generated in (9, 4):
@@ -326,6 +336,17 @@
         assert self.count_copies("vm-0") == {}
         assert self.sum_log() == 1
 
+    def test_backlog_of_an_outage_is_appended_at_a_bounded_rate(self) -> None:
+        self.log.down = True
+        for _ in range(60):
+            self.count("vm-0")
+            self.vms.run(0.5)
+        self.log.down, self.log.appends = False, 0
+        self.vms.run(4.0)
+        assert (self.log.appends, self.sum_log()) == (4, 40)
+        self.vms.run(2.0)
+        assert (self.log.appends, self.sum_log()) == (6, 60)
+
     def test_own_data_centre_is_used_without_others(self) -> None:
         self.vms = UsageVms(dict.fromkeys(VMS, "dc1"), self.log)
         self.log.down = True
