Report the load of the engine stand-in as it was some time ago

The load that the stand-in showed was always the present one, had no time of its own and no queued prefill tokens, so the handling of late reports could not run against it. The lag of 1 s is the lowest of the platform's 1 to 5 s.

--- /dev/null
+++ b/wisteriagw/entry/_report_reader.py
@@ -0,0 +1,91 @@
+"""Reader of the load of backend servers."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.defer import inlineCallbacks
+
+from wisteriagw.exchange import list_owned, observe_load
+from wisteriagw.outcomes import Done
+from wisteriagw.settings import AddressKind, parse_value
+
+if TYPE_CHECKING:
+    from collections.abc import Generator
+
+    from twisted.internet.defer import Deferred
+
+    from wisteriagw.config import BackendServerRow
+    from wisteriagw.entry._entry_context import EntryContext
+    from wisteriagw.exchange import WorkExchange
+
+READ_TIMEOUT_SECONDS = 2.0
+# Owners of a few hundred servers after the loss of most entry VMs still end a turn.
+MAX_OPEN_READS = 64
+
+
+class ReportReader:
+    """Reads the load of the engines that this VM owns, once a second.
+
+    An engine that does not answer changes nothing: the account of its work goes on by
+    the age of its last report.
+    """
+
+    def __init__(self, context: EntryContext, exchange: WorkExchange) -> None:
+        self._context = context
+        self._exchange = exchange
+        self._open: set[str] = set()
+        self._turn = 0
+
+    def read_all(self) -> list[Deferred[None]]:
+        """Start a read of each engine that is owned and has no read under way."""
+        context = self._context
+        rows = list_owned(
+            context.config.sheet["backend_servers"],
+            context.membership.state,
+            context.clock(),
+        )
+        # With more than the bound they take turns.
+        start = self._turn % max(1, len(rows))
+        self._turn += MAX_OPEN_READS if len(rows) > MAX_OPEN_READS else 0
+        reads = []
+        for row in rows[start:] + rows[:start]:
+            if len(self._open) >= MAX_OPEN_READS:
+                break
+            if row["name"] not in self._open:
+                reads.append(self._read(row))
+        return reads
+
+    @inlineCallbacks
+    def _read(self, row: BackendServerRow) -> Generator[Deferred[Any], Any, None]:
+        context, name = self._context, row["name"]
+        self._open.add(name)
+        asked_at = context.clock()
+        try:
+            outcome = yield context.client.send(
+                parse_value(AddressKind(), row["address"]),
+                "GET",
+                "/load",
+                timeout=READ_TIMEOUT_SECONDS,
+            )
+        finally:
+            self._open.discard(name)
+        observed = observe_load(name, read_fields(outcome), asked_at)
+        if observed is None:
+            return
+        if observed.leaving:
+            context.membership.merge_signs([(name, 0)])
+        context.dispatch.dispatcher.table.apply_report(observed.report)
+        self._exchange.note_report(observed.report)
+
+
+def read_fields(outcome: Any) -> dict[str, Any]:
+    """Return the JSON object of an answer, empty if there is none."""
+    if not isinstance(outcome, Done) or outcome.status != 200:
+        return {}
+    try:
+        fields = json.loads(outcome.body)
+    except ValueError:
+        return {}
+    return fields if isinstance(fields, dict) else {}
--- a/wisteriagw/standins/_engine.py
+++ b/wisteriagw/standins/_engine.py
@@ -28,12 +28,22 @@
         self.cache = PrefixCache(speed.max_cached_blocks)
         self.generations: dict[str, Generation] = {}
         self.now = 0.0
+        self.leaving = False
 
     @property
     def is_full(self) -> bool:
         """Whether the queue takes no more requests."""
         return len(self.batch.waiting) >= self.batch.speed.max_waiting
 
+    def describe_load(self) -> dict[str, float]:
+        """Return the load at this moment."""
+        waiting = self.batch.waiting
+        return {
+            "running": len(self.batch.running),
+            "waiting": len(waiting),
+            "queued_prefill_tokens": sum(one.prefill_left for one in waiting),
+        }
+
     def start(self, request: GenerateRequest, reader: Any) -> Generation:
         """Start a generation whose events go to a reader."""
         generation = Generation(request)
--- a/wisteriagw/standins/_engine_resource.py
+++ b/wisteriagw/standins/_engine_resource.py
@@ -7,7 +7,9 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
+from wisteriagw.clocks import read_boot_time
 from wisteriagw.http import read_json_object, write_error, write_json
+from wisteriagw.standins._delayed_reports import DelayedReports
 
 if TYPE_CHECKING:
     from twisted.web.server import Request
@@ -20,9 +22,10 @@
 
     isLeaf = True
 
-    def __init__(self, engine: Engine) -> None:
+    def __init__(self, engine: Engine, reports: DelayedReports | None = None) -> None:
         super().__init__()
         self._engine = engine
+        self._reports = reports or DelayedReports(engine, read_boot_time)
 
     def render_POST(self, request: Request) -> Any:
         """Start or cancel a generation, or show a fault."""
@@ -49,6 +52,8 @@
     def _show_fault(self, request: Request, body: dict[str, Any]) -> None:
         if body.get("cut_connections"):
             self._engine.cut_connections()
+        if "leaving" in body:
+            self._engine.leaving = body["leaving"] is True
         if body.get("crash"):
             self._engine.crash()
         write_json(request, 200, body)
@@ -56,9 +61,7 @@
     def render_GET(self, request: Request) -> Any:
         """Resume a stream, or report the load."""
         if request.path == b"/load":
-            batch = self._engine.batch
-            load = {"running": len(batch.running), "waiting": len(batch.waiting)}
-            write_json(request, 200, load)
+            write_json(request, 200, self._reports.describe())
             return NOT_DONE_YET
         request_id = request.path.rpartition(b"/")[2].decode("latin-1")
         generation = self._engine.generations.get(request_id)
--- a/wisteriagw/standins/_programs.py
+++ b/wisteriagw/standins/_programs.py
@@ -21,6 +21,7 @@
 )
 from wisteriagw.standins._backends_resource import BackendsResource
 from wisteriagw.standins._backends_store import BackendsStore
+from wisteriagw.standins._delayed_reports import DelayedReports
 from wisteriagw.standins._engine import Engine
 from wisteriagw.standins._engine_orders import EngineOrders
 from wisteriagw.standins._engine_orders_resource import EngineOrdersResource
@@ -34,6 +35,7 @@
 from wisteriagw.standins._vm_list_resource import VmListResource
 from wisteriagw.telemetry import start_logging
 
+SAMPLE_SECONDS = 0.1
 LISTEN = Option("listen", AddressKind(), None, "Address to listen on.")
 RETENTION = Option(
     "retention-records",
@@ -77,6 +79,12 @@
     "false",
     "Whether the engine ends in the middle of its first change.",
 )
+REPORT_LAG_SECONDS = Option(
+    "report-lag-seconds",
+    NumberKind(0, 600, "s"),
+    "1",
+    "Age of the load that the engine reports.",
+)
 LAG_SECONDS = Option(
     "lag-seconds",
     NumberKind(0, 600, "s"),
@@ -93,6 +101,7 @@
         CHECKS_FENCING,
         CHANGE_SECONDS,
         CRASH_IN_CHANGE,
+        REPORT_LAG_SECONDS,
     ),
     "wisteriagw-standin-backends": (LISTEN,),
     "wisteriagw-standin-service": (LISTEN,),
@@ -127,7 +136,10 @@
         crash=_crash if settings["crash-in-change"] == "true" else None,
     )
     LoopingCall(orders.step).start(speed.step_seconds)
-    root = EngineRoot(EngineResource(engine), EngineOrdersResource(orders))
+    reports = DelayedReports(engine, read_boot_time, settings["report-lag-seconds"])
+    LoopingCall(reports.sample).start(SAMPLE_SECONDS)
+    resource = EngineResource(engine, reports)
+    root = EngineRoot(resource, EngineOrdersResource(orders))
     _serve("standin-engine", settings, root)
 
 
