Feed load reports and the work of other entry VMs to the dispatcher

The running entry program knew only its own work, so a customer could exceed its share through several entry VMs. Each VM now reads the load of the engines it owns once a second and sends one WorkReport to its peers.

Weighed: rows in the heartbeat, which has its own bound and goes out whether or not there is work, against a message of its own; the second was taken. Sum of rows per second to all peers is bounded at 180; what does not fit adds up instead of being lost. Reports stay within a data centre in a split mesh: 1,500 reports a second to every VM would be over 30 KB a second against 7.

Each guard was removed once and its test failed: passing foreign rows on, check of figures, age of the report, sign of leaving, second owner, bound of rows.

Three scenarios of features/operations.feature fail, before this change as well.

--- a/wisteriagw/entry/_main.py
+++ b/wisteriagw/entry/_main.py
@@ -22,6 +22,7 @@
 from wisteriagw.entry._dispatch_adapter import DispatchAdapter
 from wisteriagw.entry._entry_context import EntryContext
 from wisteriagw.entry._health_resource import HealthResource
+from wisteriagw.entry._load_wiring import start_load_exchange
 from wisteriagw.entry._membership_wiring import start_membership
 from wisteriagw.entry._models_resource import ModelsResource
 from wisteriagw.entry._operator_access import load_operator_token
@@ -61,6 +62,7 @@
     polling = LoopingCall(_poll_config, context)
     polling.start(settings["config-poll-seconds"])
     start_membership(context, reactor)
+    start_load_exchange(context)
     _listen(settings["listen"], build_caller_root(context))
     operators = Resource()
     operators.putChild(b"v1", OperatorsResource(context, token))
--- a/wisteriagw/messages/__init__.py
+++ b/wisteriagw/messages/__init__.py
@@ -10,6 +10,7 @@
 from wisteriagw.messages._probe_reply import ProbeReply
 from wisteriagw.messages._probe_request import ProbeRequest
 from wisteriagw.messages._registry import register_message
+from wisteriagw.messages._work_report import WorkReport
 
 __all__ = [
     "ConfigRecords",
@@ -18,6 +19,7 @@
     "Heartbeat",
     "ProbeReply",
     "ProbeRequest",
+    "WorkReport",
     "decode_message",
     "encode_message",
     "register_message",
