Show the demand by model on the operators' interface

Plans need the demand of all callers, and take_demand empties its counter, so a second asker would have seen less. The entry process now samples the counter once a second into smoothed rates by model, which GET /v1/demand shows to any number of askers. Measured in the test: 3,000 and 500 tokens a second are met within 2% after 60 s.

--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import json
+
 import pytest
 from twisted.internet.defer import gatherResults, inlineCallbacks
 from twisted.trial.unittest import TestCase
+from twisted.web.test.requesthelper import DummyRequest
 
 from tests.support import LoopbackFleet, VirtualClock
 from wisteriagw.clocks import read_boot_time
 from wisteriagw.dispatch import Dispatched, Dispatcher
+from wisteriagw.entry._operators_demand import DemandResource
 from wisteriagw.entry._report_reader import ReportReader
 from wisteriagw.exchange import (
     OWNERS,
@@ -283,3 +287,18 @@
         engine.leaving = True
         yield gatherResults(reader.read_all())
         assert context.membership.is_backend_leaving("e1")
+
+    def test_demand_is_the_same_for_each_asker(self):
+        fleet = LoopbackFleet(self)
+        fleet.start_entries(1)
+        context = fleet.contexts[0]
+        request = RouteRequest("a", "ledger", 2400)
+        context.dispatch.dispatcher.submit("h", request, 9e9, read_boot_time())
+        context.dispatch.sample_demand()
+        answers = []
+        for _ in range(2):
+            asked = DummyRequest([b"v1", b"demand"])
+            DemandResource(context).render_GET(asked)
+            answers.append(json.loads(b"".join(asked.written)))
+        assert answers[0] == answers[1]
+        assert answers[0]["models"]["ledger"]["prefill_tokens_per_second"] > 0
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -6,8 +6,16 @@
 
 import pytest
 
-from wisteriagw.roles import Demand, EngineRole, RolesView, plan_roles, smooth_demand
-from wisteriagw.routing import RoleProfile
+from wisteriagw.dispatch import Dispatcher
+from wisteriagw.roles import (
+    Demand,
+    DemandMeter,
+    EngineRole,
+    RolesView,
+    plan_roles,
+    smooth_demand,
+)
+from wisteriagw.routing import LoadTable, RoleProfile, RouteRequest
 
 PROFILES = {
     "prefill": RoleProfile(20_000.0, 16),
@@ -79,3 +87,20 @@
         assert demand.prefill_tokens_per_second < 25_000.0
         assert smooth_demand(demand, 0.0, 0.0, 1.0) == demand
         assert smooth_demand(demand, 5.0, 5.0, math.inf).prefill_tokens_per_second == 5
+
+    def test_rates_by_model_stay_for_every_asker_and_decay(self) -> None:
+        dispatcher = Dispatcher(LoadTable({}), {}, lambda bound: 0)
+        meter = DemandMeter(0.0)
+        for second in range(1, 61):
+            for model, tokens in (("a", 3000), ("b", 500)):
+                request = RouteRequest("c", model, tokens)
+                dispatcher.submit(f"{model}{second}", request, 9e9, float(second))
+            meter.sample(dispatcher.take_demands(), float(second))
+        assert dispatcher.take_demand() == (0.0, 0.0)
+        for model, rate in (("a", 3000.0), ("b", 500.0)):
+            demand = meter.demands[model]
+            assert demand.prefill_tokens_per_second == pytest.approx(rate, rel=0.02)
+            assert demand.decode_tokens_per_second == pytest.approx(100.0, rel=0.02)
+        for second in range(61, 400):
+            meter.sample({}, float(second))
+        assert meter.demands == {}
--- a/wisteriagw/dispatch/_dispatcher.py
+++ b/wisteriagw/dispatch/_dispatcher.py
@@ -76,7 +76,7 @@
         self._queues: dict[tuple[str, bool], FairQueue] = {}
         self._running: dict[str, Running] = {}
         self._outputs: dict[tuple[str, int], float] = {}
-        self._demand = (0.0, 0.0)
+        self._demand: dict[str, tuple[float, float]] = {}
 
     def set_weights(self, weights: Mapping[str, float]) -> None:
         """Take over the customers' weights; the queues and meters share them."""
@@ -154,8 +154,13 @@
 
     def take_demand(self) -> tuple[float, float]:
         """Return the prefill and decode tokens asked for since the last call."""
-        demand, self._demand = self._demand, (0.0, 0.0)
-        return demand
+        demands = self.take_demands().values()
+        return sum(one[0] for one in demands), sum(one[1] for one in demands)
+
+    def take_demands(self) -> dict[str, tuple[float, float]]:
+        """Return the demand since the last call by model."""
+        demands, self._demand = self._demand, {}
+        return demands
 
     def count_waiting(self) -> int:
         """Return the number of queued requests."""
@@ -166,8 +171,9 @@
             return
         cached = max(self.index.find(request.blocks).values(), default=0)
         tokens = max(0, request.prompt_tokens - cached * PREFIX_BLOCK_TOKENS)
-        prefill, decode = self._demand
-        self._demand = (prefill + tokens, decode + self._expect_output(request))
+        prefill, decode = self._demand.get(request.serves, (0.0, 0.0))
+        decode += self._expect_output(request)
+        self._demand[request.serves] = (prefill + tokens, decode)
 
     def _place_one(
         self, queue: FairQueue, now: float, results: list[Dispatched | Refusal]
--- a/wisteriagw/entry/_dispatch_adapter.py
+++ b/wisteriagw/entry/_dispatch_adapter.py
@@ -9,6 +9,7 @@
 
 from wisteriagw.dispatch import Dispatcher
 from wisteriagw.fairness import Refusal
+from wisteriagw.roles import DemandMeter
 from wisteriagw.routing import LOAD_SECONDS, LoadTable
 
 if TYPE_CHECKING:
@@ -44,6 +45,7 @@
         self._call_later = call_later
         table = LoadTable({})
         self.dispatcher = Dispatcher(table, {}, secrets.randbelow)
+        self.demand = DemandMeter(context.clock())
         self._waiting: dict[str, Deferred[RoutingDecision | Refusal]] = {}
         self._revision: int | None = None
         self._signs: dict[str, int] = {}
@@ -89,6 +91,10 @@
         if self._waiting:
             self._pump()
 
+    def sample_demand(self) -> None:
+        """Bring the rates of the demand up to date; called once a second."""
+        self.demand.sample(self.dispatcher.take_demands(), self._context.clock())
+
     def _refresh(self) -> None:
         config = self._context.config
         # A sign that a backend server is leaving must not wait for a new revision.
--- a/wisteriagw/entry/_load_wiring.py
+++ b/wisteriagw/entry/_load_wiring.py
@@ -29,6 +29,7 @@
         context.mesh.subscribe(WorkReport, exchange.handle)
 
     def run_turn() -> None:
+        context.dispatch.sample_demand()
         exchange.tick()
         reader.read_all()
 
--- a/wisteriagw/entry/_operators_resource.py
+++ b/wisteriagw/entry/_operators_resource.py
@@ -12,6 +12,7 @@
 from wisteriagw.entry._operators_audit import AuditResource
 from wisteriagw.entry._operators_customers import build_customer_creation
 from wisteriagw.entry._operators_decisions import DecisionsResource
+from wisteriagw.entry._operators_demand import DemandResource
 from wisteriagw.entry._operators_drains import build_drain, build_drain_end
 from wisteriagw.entry._operators_fleet import FleetResource
 from wisteriagw.entry._operators_keys import build_key_gift
@@ -36,6 +37,7 @@
 }
 VIEWS = {
     b"sheet-checks": SheetChecksResource,
+    b"demand": DemandResource,
     b"fleet": FleetResource,
     b"revisions": RevisionsResource,
     b"decisions": DecisionsResource,
--- a/wisteriagw/roles/__init__.py
+++ b/wisteriagw/roles/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from wisteriagw.roles._demand import Demand, smooth_demand
+from wisteriagw.roles._demand_meter import DemandMeter
 from wisteriagw.roles._engine_role import EngineRole
 from wisteriagw.roles._planning import RECENT_SECONDS, plan_roles
 from wisteriagw.roles._role_alternative import RoleAlternative
@@ -13,6 +14,7 @@
 __all__ = [
     "RECENT_SECONDS",
     "Demand",
+    "DemandMeter",
     "EngineRole",
     "RoleAlternative",
     "RoleChange",
