Move engines between the roles by the demand of all entry VMs

The control program only brought engines to the sheet.

Weighed: return to the sheet while the demand is not known, against leaving the roles. A return would undo the last change at each loss of the reports, so the roles stay. The time of gaining the authority counts as a change, because an earlier holder may have ordered one just before. An order with an unknown outcome, also of the same instant as the last read, keeps other changes of the model back. Guards removed once each, with a failing test: unknown outcome, engines that are all mixed, time of gaining the authority, half of the VMs.

--- a/wisteriagw/control/__init__.py
+++ b/wisteriagw/control/__init__.py
@@ -2,10 +2,24 @@
 
 from __future__ import annotations
 
+from wisteriagw.control._demand_reader import DemandReader
 from wisteriagw.control._engine_report import EngineReport
+from wisteriagw.control._fleet_planner import FleetPlanner
 from wisteriagw.control._fleet_view import FleetView
 from wisteriagw.control._main import main
 from wisteriagw.control._options import OPTIONS
 from wisteriagw.control._planner import plan_fleet
+from wisteriagw.control._role_history import RoleHistory
+from wisteriagw.control._role_planner import plan_adapted
 
-__all__ = ["OPTIONS", "EngineReport", "FleetView", "main", "plan_fleet"]
+__all__ = [
+    "OPTIONS",
+    "DemandReader",
+    "EngineReport",
+    "FleetPlanner",
+    "FleetView",
+    "RoleHistory",
+    "main",
+    "plan_adapted",
+    "plan_fleet",
+]
--- a/wisteriagw/control/_control_context.py
+++ b/wisteriagw/control/_control_context.py
@@ -79,6 +79,10 @@
         for row in self.list_engines():
             engine = self.get_engine(row["name"])
             draining = row["name"] in config.draining
-            reports.append(EngineReport(row, engine.state, engine.read_at, draining))
+            reports.append(
+                EngineReport(
+                    row, engine.state, engine.read_at, draining, engine.sent_at
+                )
+            )
         orders = self.backends.state or ()
         return FleetView(config.revision, config.sheet, tuple(reports), orders)
--- a/wisteriagw/control/_engine_report.py
+++ b/wisteriagw/control/_engine_report.py
@@ -22,9 +22,12 @@
         When the state was read, minus infinity if it never was.
     draining : bool
         Whether an operator drains it.
+    sent_at : float
+        When an order was last sent to it.
     """
 
     row: BackendServerRow
     state: EngineState | None
     read_at: float
     draining: bool
+    sent_at: float = float("-inf")
--- a/wisteriagw/control/_main.py
+++ b/wisteriagw/control/_main.py
@@ -4,6 +4,7 @@
 
 import logging
 import secrets
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet import reactor
@@ -20,8 +21,8 @@
     read_engine,
     settle_needs,
 )
+from wisteriagw.control._fleet_planner import FleetPlanner
 from wisteriagw.control._options import OPTIONS
-from wisteriagw.control._planner import plan_fleet
 from wisteriagw.control._status_resource import StatusResource
 from wisteriagw.http import BoundedRequest, HttpClient
 from wisteriagw.leases import LeaseKeeper, ProcessIdentity
@@ -71,7 +72,9 @@
     # process that can bind it thereby proves that this one has ended.
     reactor.listenTCP(port, site, interface=host)
     LoopingCall(_run_logged, follow, context).start(settings["poll-seconds"])
-    LoopingCall(_run_logged, _plan, context).start(settings["plan-seconds"], now=False)
+    planner = FleetPlanner(context, client)
+    turn = partial(_plan, planner=planner)
+    LoopingCall(_run_logged, turn, context).start(settings["plan-seconds"], now=False)
     reactor.addSystemEventTrigger("before", "shutdown", _release, context)
     reactor.run()
 
@@ -106,17 +109,21 @@
 
 
 @inlineCallbacks
-def _plan(context: ControlContext) -> Generator[Deferred[Any], Any, None]:
+def _plan(
+    context: ControlContext, planner: FleetPlanner
+) -> Generator[Deferred[Any], Any, None]:
     """Run one turn of the planner and carry its orders out as far as they may go."""
     if context.authority.keeper.get_fencing_number() is None:
         return
     names = context.list_stale_engines(MAX_READS_PER_TURN)
     readings = [read_engine(context, name) for name in names]
     yield gatherResults([*readings, read_backends(context)])
-    orders = plan_fleet(context.build_fleet_view(), context.clock())
+    orders = yield planner.plan()
     try:
         for order in orders[:MAX_ORDERS_PER_TURN]:
+            sent_before = planner.get_sent_at(order)
             yield dispatch_order(order, context)
+            planner.note_sent(order, sent_before)
         yield settle_needs(context)
     except LogUnavailableError as error:
         logger.warning("the orders of this turn wait for the log: %s", error)
--- a/wisteriagw/control/_options.py
+++ b/wisteriagw/control/_options.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
-from wisteriagw.settings import AddressKind, ChoiceKind, NumberKind, Option, TextKind
+from wisteriagw.settings import (
+    AddressKind,
+    ChoiceKind,
+    FileKind,
+    IntegerKind,
+    NumberKind,
+    Option,
+    TextKind,
+)
 
 OPTIONS = (
     Option("vm", TextKind(), None, "Name of this VM in the VM list."),
@@ -28,6 +36,19 @@
         "false",
         "Whether the backend server interface refuses old fencing numbers.",
     ),
+    Option(
+        "entry-operator-port",
+        IntegerKind(0, 65535, "port"),
+        "0",
+        "Port of the operators' interface on the entry VMs, which are asked for their "
+        "demand. With 0 engines keep to their roles on the sheet.",
+    ),
+    Option(
+        "operator-token-file",
+        FileKind(),
+        "",
+        "File with the token of operators, for that interface.",
+    ),
     Option(
         "poll-seconds",
         NumberKind(0.05, 2.0, "s"),
