--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test lint format reference
+.PHONY: setup demo test lint format reference capacity
 
 setup: $(STAMP)
 
@@ -25,8 +25,14 @@
 	$(BIN)/python tools/write_reference.py
 
 test: setup lint
-	$(BIN)/behave --format progress --no-capture
+	$(BIN)/behave --format plain --no-capture --no-skipped
 	$(BIN)/pytest
 
 demo: setup
 	bash tools/demo.sh $(BIN)
+
+capacity: setup
+	$(BIN)/python tools/measure_capacity.py
+	$(BIN)/python tools/bench_membership.py
+	$(BIN)/python tools/bench_recovery.py
+	$(BIN)/python tools/bench_entry.py --seconds 5
