--- a/wisteriagw/entry/_main.py
+++ b/wisteriagw/entry/_main.py
@@ -23,6 +23,7 @@
 from wisteriagw.entry._dispatch_adapter import DispatchAdapter
 from wisteriagw.entry._entry_context import EntryContext
 from wisteriagw.entry._health_resource import HealthResource
+from wisteriagw.entry._load_wiring import start_load_exchange
 from wisteriagw.entry._membership_wiring import start_membership
 from wisteriagw.entry._models_resource import ModelsResource
 from wisteriagw.entry._operator_access import load_operator_token
@@ -73,6 +74,7 @@
     usage = UsageWiring(context)
     start_usage(usage, reactor)
     start_membership(context, reactor, usage, fleet_transport)
+    start_load_exchange(context)
     telemetry = TelemetryWiring(
         context,
         Metrics(settings["statsd"], "entry", settings["vm"]),
--- a/wisteriagw/messages/__init__.py
+++ b/wisteriagw/messages/__init__.py
@@ -13,6 +13,7 @@
 from wisteriagw.messages._registry import register_message
 from wisteriagw.messages._usage_copy import UsageCopy
 from wisteriagw.messages._usage_copy_ack import UsageCopyAck
+from wisteriagw.messages._work_report import WorkReport
 
 __all__ = [
     "ConfigRecords",
@@ -24,6 +25,7 @@
     "ProbeRequest",
     "UsageCopy",
     "UsageCopyAck",
+    "WorkReport",
     "decode_message",
     "encode_message",
     "register_message",
