Share the settings and the lease maintenance of the programs

The control and usage programs each had their own copy of the VM list read, the lease turn and the release, and three programs described the same settings.

--- a/wisteriagw/control/_main.py
+++ b/wisteriagw/control/_main.py
@@ -25,11 +25,10 @@
 from wisteriagw.control._options import OPTIONS
 from wisteriagw.control._status_resource import StatusResource
 from wisteriagw.http import BoundedRequest, HttpClient
-from wisteriagw.leases import LeaseKeeper, ProcessIdentity
+from wisteriagw.leases import LeaseKeeper, ProcessIdentity, keep_lease, release_lease
 from wisteriagw.platform import (
     HttpLogClient,
     LogUnavailableError,
-    VmListUnavailableError,
 )
 from wisteriagw.settings import load_settings
 from wisteriagw.telemetry import start_logging
@@ -49,8 +48,6 @@
 # an order is read again just before it.
 MAX_READS_PER_TURN = 50
 MAX_ORDERS_PER_TURN = 20
-# A release that the log does not take in this time is left to the next process.
-RELEASE_SECONDS = 5.0
 
 
 def main() -> None:
@@ -90,17 +87,8 @@
 def follow(context: ControlContext) -> Generator[Deferred[Any], Any, None]:
     """Keep the VM list, the authority and the configuration up to date."""
     keeper = context.authority.keeper
-    started, through = context.clock(), keeper.through
     try:
-        vms = yield context.vm_list.list_vms()
-        keeper.set_vms(frozenset(vm.name for vm in vms), started, through)
-        # A leaving VM hands the authority over while it still can.
-        if (context.settings["vm"], True) in [(vm.name, vm.leaving) for vm in vms]:
-            keeper.stopping = True
-    except VmListUnavailableError as error:
-        logger.warning("the VM list cannot be read: %s", error)
-    try:
-        yield keeper.run_turn()
+        yield keep_lease(keeper, context.vm_list, context.clock)
         yield context.config_follower.poll()
         yield context.orders_follower.poll()
     except LogUnavailableError as error:
@@ -134,10 +122,6 @@
 @inlineCallbacks
 def _release(context: ControlContext) -> Generator[Deferred[Any], Any, None]:
     """Give the authority up so that another process need not wait for the term."""
-    keeper = context.authority.keeper
-    keeper.stopping = True
-    deadline = context.clock() + RELEASE_SECONDS
-    # The loop that follows the log writes the release.
-    while context.clock() < deadline and not keeper.is_released():
-        yield deferLater(reactor, context.settings["poll-seconds"])
+    wait = partial(deferLater, reactor, context.settings["poll-seconds"])
+    yield release_lease(context.authority.keeper, context.clock, wait)
     yield context.audit.flush()
--- a/wisteriagw/control/_options.py
+++ b/wisteriagw/control/_options.py
@@ -4,27 +4,27 @@
 
 from wisteriagw.checkpoints import RETENTION_OPTIONS
 from wisteriagw.settings import (
+    DATA_CENTRE,
+    LEASE_LISTEN,
+    LOG,
+    LOG_LEVEL,
+    POLL_SECONDS,
+    VM,
+    VM_LIST,
     AddressKind,
     ChoiceKind,
     FileKind,
     IntegerKind,
     NumberKind,
     Option,
-    TextKind,
 )
 
 OPTIONS = (
-    Option("vm", TextKind(), None, "Name of this VM in the VM list."),
-    Option("data-centre", TextKind(), None, "Data centre of this VM."),
-    Option(
-        "listen",
-        AddressKind(),
-        None,
-        "Control address; a process that has bound it proves that the earlier process "
-        "of this VM with the same address has ended.",
-    ),
-    Option("log", AddressKind(), None, "Address of the platform's log."),
-    Option("vm-list", AddressKind(), None, "Address of the platform's VM list."),
+    VM,
+    DATA_CENTRE,
+    LEASE_LISTEN,
+    LOG,
+    VM_LIST,
     Option(
         "backends",
         AddressKind(),
@@ -50,12 +50,7 @@
         "",
         "File with the token of operators, for that interface.",
     ),
-    Option(
-        "poll-seconds",
-        NumberKind(0.05, 2.0, "s"),
-        "0.5",
-        "Time between two reads of the log.",
-    ),
+    POLL_SECONDS,
     Option(
         "plan-seconds",
         NumberKind(0.1, 60.0, "s"),
@@ -63,10 +58,5 @@
         "Time between two turns of the planner.",
     ),
     *RETENTION_OPTIONS,
-    Option(
-        "log-level",
-        ChoiceKind(("debug", "info", "warning", "error")),
-        "info",
-        "Lowest level of the lines that are logged.",
-    ),
+    LOG_LEVEL,
 )
--- a/wisteriagw/entry/_entry_context.py
+++ b/wisteriagw/entry/_entry_context.py
@@ -23,7 +23,7 @@
 from wisteriagw.entry._open_callers import OpenCallers
 from wisteriagw.entry._open_streams import OpenStreams
 from wisteriagw.entry._own_state import build_own_state
-from wisteriagw.entry._retry_ledger import RetryLedger
+from wisteriagw.entry._retry_limiter import RetryLimiter
 from wisteriagw.entry._running_streams import RunningStreams
 from wisteriagw.entry._shutdown import Shutdown
 from wisteriagw.entry._usage_recorder import UsageRecorder
@@ -73,7 +73,7 @@
         self.clock = clock
         self.running = RunningStreams(running)
         self._views = BackendViews(self.running)
-        self.retries = RetryLedger(clock)
+        self.retries = RetryLimiter(clock)
         self.call_guard: CallGuard | None = None
         history = RecordHistory(MAX_HISTORY_BYTES)
         self.sleep = sleep or (lambda seconds: succeed(None))
--- a/wisteriagw/entry/_options.py
+++ b/wisteriagw/entry/_options.py
@@ -3,20 +3,22 @@
 from __future__ import annotations
 
 from wisteriagw.settings import (
+    DATA_CENTRE,
+    LOG,
+    LOG_LEVEL,
+    USAGE_WINDOW_SECONDS,
+    VM,
     AddressKind,
     AddressListKind,
-    ChoiceKind,
     FileKind,
-    IntegerKind,
     NumberKind,
     Option,
-    TextKind,
 )
 from wisteriagw.transport import CALLER_TLS_OPTIONS, FLEET_TLS_OPTIONS
 
 OPTIONS = (
-    Option("vm", TextKind(), None, "Name of this VM in the VM list."),
-    Option("data-centre", TextKind(), None, "Data centre of this VM."),
+    VM,
+    DATA_CENTRE,
     Option("listen", AddressKind(), None, "Address for callers."),
     Option("operator-listen", AddressKind(), None, "Address for operators."),
     Option(
@@ -25,7 +27,7 @@
         "",
         "File with the token of operators; without it they connect by loopback only.",
     ),
-    Option("log", AddressKind(), None, "Address of the platform's log."),
+    LOG,
     Option(
         "vm-list",
         AddressKind(),
@@ -57,18 +59,8 @@
         "30",
         "Time after SIGTERM in which new requests are still taken.",
     ),
-    Option(
-        "usage-window-seconds",
-        IntegerKind(1, 3600, "s"),
-        "60",
-        "Length of a usage window; the same in every program.",
-    ),
-    Option(
-        "log-level",
-        ChoiceKind(("debug", "info", "warning", "error")),
-        "info",
-        "Lowest level of the lines that are logged.",
-    ),
+    USAGE_WINDOW_SECONDS,
+    LOG_LEVEL,
     Option(
         "statsd",
         AddressKind(),
--- a/wisteriagw/entry/_retry_ledger.py
+++ b/wisteriagw/entry/_retry_limiter.py
@@ -19,7 +19,7 @@
     from wisteriagw.retries import RetryDecision
 
 
-class RetryLedger:
+class RetryLimiter:
     """Keeps the budget that all requests of the process share."""
 
     def __init__(self, clock: Callable[[], float]) -> None:
--- a/wisteriagw/leases/__init__.py
+++ b/wisteriagw/leases/__init__.py
@@ -24,6 +24,7 @@
 from wisteriagw.leases._lease_keeper import LEASES_STREAM, LeaseKeeper
 from wisteriagw.leases._lease_state import LeaseState
 from wisteriagw.leases._lease_view import LeaseView
+from wisteriagw.leases._maintenance import keep_lease, release_lease
 from wisteriagw.leases._observation import Observation
 from wisteriagw.leases._process_identity import ProcessIdentity
 
@@ -49,5 +50,7 @@
     "find_unproved",
     "get_entry",
     "lose_records",
+    "keep_lease",
     "observe_tip",
+    "release_lease",
 ]
--- a/wisteriagw/reporter/_main.py
+++ b/wisteriagw/reporter/_main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet import reactor
@@ -12,7 +13,8 @@
 from twisted.web.server import Site
 
 from wisteriagw.http import BoundedRequest, HttpClient
-from wisteriagw.platform import LogUnavailableError, VmListUnavailableError
+from wisteriagw.leases import keep_lease, release_lease
+from wisteriagw.platform import LogUnavailableError
 from wisteriagw.reporter._options import OPTIONS
 from wisteriagw.reporter._reporter_context import ReporterContext
 from wisteriagw.reporter._status_resource import StatusResource
@@ -28,8 +30,6 @@
 
 PROGRAM = "wisteriagw-usage"
 DESCRIPTION = "Closes usage windows and reports them, one process at a time."
-# A release that the log does not take in this time is left to the next process.
-RELEASE_SECONDS = 5.0
 
 
 def main() -> None:
@@ -67,17 +67,7 @@
 @inlineCallbacks
 def follow(context: ReporterContext) -> Generator[Deferred[Any], Any, None]:
     """Read the VM list and keep the lease; fails with LogUnavailableError."""
-    keeper = context.keeper
-    started, through = context.clock(), keeper.through
-    try:
-        vms = yield context.vm_list.list_vms()
-        keeper.set_vms(frozenset(vm.name for vm in vms), started, through)
-        # A leaving VM hands the authority over while it still can.
-        if (context.settings["vm"], True) in [(vm.name, vm.leaving) for vm in vms]:
-            keeper.stopping = True
-    except VmListUnavailableError as error:
-        logger.warning("the VM list cannot be read: %s", error)
-    yield keeper.run_turn()
+    yield keep_lease(context.keeper, context.vm_list, context.clock)
 
 
 @inlineCallbacks
@@ -94,9 +84,5 @@
 @inlineCallbacks
 def _release(context: ReporterContext) -> Generator[Deferred[Any], Any, None]:
     """Give the authority up so that another process need not wait for the term."""
-    keeper = context.keeper
-    keeper.stopping = True
-    deadline = context.clock() + RELEASE_SECONDS
-    # The loop that keeps the lease writes the release.
-    while context.clock() < deadline and not keeper.is_released():
-        yield deferLater(reactor, context.settings["poll-seconds"])
+    wait = partial(deferLater, reactor, context.settings["poll-seconds"])
+    yield release_lease(context.keeper, context.clock, wait)
--- a/wisteriagw/settings/__init__.py
+++ b/wisteriagw/settings/__init__.py
@@ -5,6 +5,16 @@
 from wisteriagw.settings._address_kind import AddressKind
 from wisteriagw.settings._address_list_kind import AddressListKind
 from wisteriagw.settings._choice_kind import ChoiceKind
+from wisteriagw.settings._common_options import (
+    DATA_CENTRE,
+    LEASE_LISTEN,
+    LOG,
+    LOG_LEVEL,
+    POLL_SECONDS,
+    USAGE_WINDOW_SECONDS,
+    VM,
+    VM_LIST,
+)
 from wisteriagw.settings._file_kind import FileKind
 from wisteriagw.settings._flag_kind import FlagKind
 from wisteriagw.settings._integer_kind import IntegerKind
@@ -22,6 +32,14 @@
 from wisteriagw.settings._text_kind import TextKind
 
 __all__ = [
+    "DATA_CENTRE",
+    "LEASE_LISTEN",
+    "LOG",
+    "LOG_LEVEL",
+    "POLL_SECONDS",
+    "USAGE_WINDOW_SECONDS",
+    "VM",
+    "VM_LIST",
     "EXIT_INVALID_SETTINGS",
     "AddressKind",
     "AddressListKind",
