Bill the demo's work through the usage programs

make demo now runs the whole set of programs on each of its three VMs and checks the bill: 200 generated tokens and 2 service calls, with the entry process that carried both killed. Without the wait of 1.5 s before the kill one call was not billed, which is the stated loss of the last 0.5 s.

--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -26,13 +26,20 @@
 start engine-a "$BIN/wisteriagw-standin-engine" --listen 127.0.0.1:7821
 start engine-b "$BIN/wisteriagw-standin-engine" --listen 127.0.0.1:7822
 start levy-a "$BIN/wisteriagw-standin-service" --listen 127.0.0.1:7831
+start usage "$BIN/wisteriagw-standin-usage" --listen 127.0.0.1:7803
 start vms "$BIN/wisteriagw-standin-vms" --listen 127.0.0.1:7802 --lag-seconds 0
 # The entry VMs are told apart by their loopback address; all use the same ports.
 for n in 1 2 3; do
   start "entry-$n" "$BIN/wisteriagw-entry" --vm "vm-$n" --data-centre "dc$n" \
     --listen "127.0.0.$n:7841" --operator-listen "127.0.0.$n:7851" \
-    --mesh-listen "127.0.0.$n:7861" --vm-list 127.0.0.1:7802 --log 127.0.0.1:7801
+    --mesh-listen "127.0.0.$n:7861" --vm-list 127.0.0.1:7802 --log 127.0.0.1:7801 \
+    --usage-window-seconds 5
   [ "$n" = 1 ] && FIRST_ENTRY=$STARTED
+  start "control-$n" "$BIN/wisteriagw-control" --vm "vm-$n" --data-centre "dc$n" \
+    --listen "127.0.0.$n:7871" --vm-list 127.0.0.1:7802 --log 127.0.0.1:7801
+  start "usage-$n" "$BIN/wisteriagw-usage" --vm "vm-$n" \
+    --listen "127.0.0.$n:7881" --vm-list 127.0.0.1:7802 --log 127.0.0.1:7801 \
+    --usage-interface 127.0.0.1:7803 --usage-window-seconds 5 --usage-grace-seconds 1
 done
 
 for _ in $(seq 50); do
@@ -62,3 +69,5 @@
   fi
 done <"$WORK/steps"
 wait "$CLIENT"
+echo "waiting for the bill"
+"$BIN/python" "$HERE/demo_bill.py" 7803
--- a/tools/demo_client.py
+++ b/tools/demo_client.py
@@ -19,6 +19,7 @@
 
 MAX_TOKENS = 200
 TOKENS_BEFORE_KILL = 20
+COPIED_SECONDS = 1.5
 
 
 class TokenReader(Protocol):
@@ -80,6 +81,8 @@
     )
     print(f"call that may not repeat: {adjustment.body.decode()}", flush=True)
 
+    # Usage of the last 0.5 s dies with an entry VM, and the first one is killed below.
+    yield task.deferLater(reactor, COPIED_SECONDS)
     tokens: dict[int, str] = {}
     body = {
         "model": "ledger-7b",
