Pass the customer's priority to the engine; split the generation relay

The priority on the sheet was read and checked but every request went out with priority 0. It now reaches the engine and the fair queue, with a test.

--- a/Makefile
+++ b/Makefile
@@ -35,4 +35,5 @@
 	$(BIN)/python tools/measure_capacity.py
 	$(BIN)/python tools/bench_membership.py
 	$(BIN)/python tools/bench_recovery.py
+	$(BIN)/python tools/bench_usage.py
 	$(BIN)/python tools/bench_entry.py --seconds 5
--- a/tests/support/_loopback_fleet.py
+++ b/tests/support/_loopback_fleet.py
@@ -74,7 +74,9 @@
         """Start entry processes that know the servers started so far."""
         route = {"service": "levy", "open": False}
         sheet = {
-            "customers": [],
+            "customers": [
+                {"name": "market", "weight": 1.0, "priority": 3},
+            ],
             "models": [{"name": "ledger", "version": "1", "adapters": []}],
             "backend_servers": self._servers,
             "routes": [
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -202,6 +202,15 @@
             self.assertEqual(b"[DONE]" in recorder.data, allowed)
             self.assertEqual(b"event: moved" in recorder.data, allowed)
 
+    @inlineCallbacks
+    def test_engine_gets_the_priority_of_the_customer(self) -> Any:
+        engine = self.fleet.serve_engine("a")
+        (address,) = self.fleet.start_entries(1)
+        _, recorder = yield self.fleet.chat(address, 5)
+        yield recorder.finished
+        priorities = [found.priority for found in engine.generations.values()]
+        self.assertEqual(priorities, [3])
+
     @inlineCallbacks
     def test_whole_answer_survives_a_crash(self) -> Any:
         engines = [self.fleet.serve_engine(name) for name in "ab"]
--- a/wisteriagw/entry/_entry_context.py
+++ b/wisteriagw/entry/_entry_context.py
@@ -170,6 +170,11 @@
         """Return the backend servers as the routing decision sees them."""
         return self._views.list_views(self.config, self.membership.signs)
 
+    def get_priority(self, customer: str) -> int:
+        """Return the priority of a customer on the sheet, 0 for others."""
+        index = self._views.get_index(self.config.sheet)
+        return index.priorities.get(customer, 0)
+
     def get_address(self, backend_server: str) -> tuple[str, int] | None:
         """Return the address of a backend server on the sheet."""
         index = self._views.get_index(self.config.sheet)
--- a/wisteriagw/entry/_generation_relay.py
+++ b/wisteriagw/entry/_generation_relay.py
@@ -2,20 +2,25 @@
 
 from __future__ import annotations
 
-import json
 import logging
 import secrets
 from typing import TYPE_CHECKING, Any
-from urllib.parse import quote, urlencode
 
 from twisted.internet.defer import inlineCallbacks, succeed
 
-from wisteriagw.backends import GenerateRequest, StreamPosition
+from wisteriagw.backends import StreamPosition
+from wisteriagw.entry._engine_messages import (
+    MAX_ERROR_BYTES,
+    build_resume_path,
+    encode_cancel,
+    encode_generate_request,
+    read_engine_error,
+)
 from wisteriagw.entry._event_reader import EventReader
 from wisteriagw.entry._generation_text import join_tokens
 from wisteriagw.entry._service_call import describe_outcome
 from wisteriagw.fairness import Refusal
-from wisteriagw.http import BodyCollector, classify_loss, read_refusal
+from wisteriagw.http import BodyCollector, classify_loss
 from wisteriagw.outcomes import Done, FailedNotRun, MayHaveRun, RefusedNotRun
 from wisteriagw.retries import (
     Attempts,
@@ -47,8 +52,6 @@
 STALL_SECONDS = 12.0
 RESUME_DELAY_SECONDS = 0.1
 KEEP_FOR_RESUME_SECONDS = 30.0
-MAX_ERROR_BYTES = 64 * 1024
-ERROR_BODY_SECONDS = 2.0
 # The events that a continuation elsewhere needs are kept up to this number; a longer
 # answer can only be resumed at its own engine.
 MAX_KEPT_EVENTS = 8192
@@ -127,6 +130,7 @@
             excluded=self._attempts.excluded,
             blocks=hash_blocks(plan.customer, plan.chat.adapter, prompt),
             adapter=plan.chat.adapter,
+            priority=self._context.get_priority(plan.customer),
         )
         self._handle = secrets.token_hex(ATTEMPT_ID_BYTES)
         placed = self._context.dispatch.place(
@@ -150,33 +154,15 @@
             self._refuse(self._last_outcome or refusal)
             return
         self._set_place(decision.chosen, self._position.next_index)
-        body: GenerateRequest = {
-            "request_id": plan.request_id,
-            "attempt": self._position.attempt.decode("ascii"),
-            "customer": plan.customer,
-            "model": plan.chat.model,
-            "adapter": plan.chat.adapter,
-            "prompt": plan.chat.prompt,
-            "max_tokens": plan.chat.max_tokens,
-            "priority": 0,
-            "generated": generated,
-            "first_index": self._position.next_index,
-        }
-        data = json.dumps(body).encode("utf-8")
+        priority = context.get_priority(plan.customer)
+        data = encode_generate_request(plan, self._position, generated, priority)
         self._open("POST", "/generate", data).addErrback(self._fail)
 
     def resume(self, backend_server: str, start: int) -> None:
         """Read the generation from an index on where it is generated."""
         self._set_place(backend_server, start)
-        query = urlencode(
-            {
-                "customer": self._plan.customer,
-                "attempt": self._position.attempt.decode("ascii"),
-                "from": start,
-            }
-        )
-        request_id = quote(self._plan.request_id, safe="")
-        opening = self._open("GET", f"/requests/{request_id}?{query}", None)
+        path = build_resume_path(self._plan, self._position)
+        opening = self._open("GET", path, None)
         opening.addErrback(self._fail)
 
     def write_tokens(self, events: list[bytes]) -> None:
@@ -257,21 +243,9 @@
             response.deliverBody(BodyCollector(MAX_ERROR_BYTES))
             self._refuse(NOT_FOUND)
             return
-        outcome = yield self._read_error(response)
+        outcome = yield read_engine_error(response, self._context.client.reactor)
         self._go_on(outcome, engine_may_have_it=False)
 
-    @inlineCallbacks
-    def _read_error(self, response: Any) -> Generator[Deferred[Any], Any, Outcome]:
-        collector = BodyCollector(MAX_ERROR_BYTES)
-        response.deliverBody(collector)
-        collector.finished.addTimeout(ERROR_BODY_SECONDS, self._context.client.reactor)
-        reason = f"the engine answered with status {response.code}"
-        try:
-            content = yield collector.finished
-        except Exception as error:
-            return MayHaveRun(f"{reason}: {error}")
-        return read_refusal(response.code, content) or MayHaveRun(reason)
-
     def _fail(self, failure: Any) -> None:
         # Without an answer the caller would wait until its own timeout.
         logger.error("a generation failed: %s", failure.getTraceback())
@@ -394,12 +368,7 @@
         address = self._context.get_address(self._backend_server)
         if address is None:
             return succeed(None)
-        body = {
-            "request_id": self._plan.request_id,
-            "customer": self._plan.customer,
-            "attempt": self._position.attempt.decode("ascii"),
-        }
-        data = json.dumps(body).encode("utf-8")
+        data = encode_cancel(self._plan, self._position)
         send = self._context.client.send
         return send(address, "POST", "/cancel", data, timeout=2.0)
 
--- a/wisteriagw/entry/_sheet_index.py
+++ b/wisteriagw/entry/_sheet_index.py
@@ -23,12 +23,15 @@
         Address of each backend server that was looked up.
     routes : dict
         Route by service, method and path without a slash at its end.
+    priorities : dict of str to int
+        Priority of each customer.
     """
 
     sheet: Sheet
     positions: dict[str, int]
     addresses: dict[str, tuple[str, int]]
     routes: dict[tuple[str, str, str], RouteRow]
+    priorities: dict[str, int]
 
     def get_address(self, backend_server: str) -> tuple[str, int] | None:
         """Return the address of a backend server, None if it is not on the sheet.
@@ -65,4 +68,5 @@
         known = routes.get(key)
         if known is None or len(route["path"]) > len(known["path"]):
             routes[key] = route
-    return SheetIndex(sheet, positions, {}, routes)
+    priorities = {row["name"]: row["priority"] for row in sheet["customers"]}
+    return SheetIndex(sheet, positions, {}, routes, priorities)
