Send the metrics of the control and usage programs

The table named lease, order and usage metrics that nothing sent. The gauges go out every 10 s and the order counters with the audit entry of each order.

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -80,7 +80,11 @@
     def test_lost_reply_is_followed_by_a_read_and_no_second_order(self) -> None:
         fleet = Fleet()
         fleet.platform.fault = "lost"
+        sent: list[str] = []
+        for context in fleet.contexts:
+            context.metrics.send = sent.append
         fleet.run(ROLE, 20)
+        assert sent == ["orders.sent", "orders.unknown"]
         calls = fleet.platform.calls
         assert calls.count("POST /orders") == 1
         assert calls[calls.index("POST /orders") + 1] == "GET /state"
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -106,6 +106,7 @@
             "config.read_age": 1,
             "permit.held": 1,
             "members.alive": 1,
+            "usage.unappended": 0,
             "lines.dropped": 3,
             "retries": 5,
         }
--- a/wisteriagw/control/_control_context.py
+++ b/wisteriagw/control/_control_context.py
@@ -15,6 +15,7 @@
 from wisteriagw.follower import CheckpointWriter, StreamFollower
 from wisteriagw.orders import apply_record as apply_order_record
 from wisteriagw.platform import BackendsClient, VmListClient
+from wisteriagw.telemetry import Metrics
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -44,6 +45,7 @@
         self.clock = clock
         self.authority = Authority(keeper, clock)
         self.audit = AuditWriter(log)
+        self.metrics = Metrics(settings.get("statsd"), "control", settings["vm"])
         self.engines_client = EnginesClient(client)
         self.vm_list = VmListClient(client, settings["vm-list"])
         self.backends_client = None
--- a/wisteriagw/control/_dispatch.py
+++ b/wisteriagw/control/_dispatch.py
@@ -23,7 +23,7 @@
     encode_order,
     find_settled,
 )
-from wisteriagw.outcomes import Done, FailedNotRun
+from wisteriagw.outcomes import Done, FailedNotRun, MayHaveRun
 from wisteriagw.platform import BackendsUnavailableError
 from wisteriagw.records import AuditEntry, OrderIntent, OrderSettled, encode_record
 from wisteriagw.settings import AddressKind, parse_value
@@ -234,6 +234,9 @@
         at=read_wall_time(),
     )
     context.audit.write(entry)
+    context.metrics.send("orders.sent")
+    if isinstance(outcome, MayHaveRun):
+        context.metrics.send("orders.unknown")
 
 
 def _describe_outcome(outcome: Outcome) -> str:
--- a/wisteriagw/control/_main.py
+++ b/wisteriagw/control/_main.py
@@ -31,7 +31,7 @@
     LogUnavailableError,
 )
 from wisteriagw.settings import load_settings
-from wisteriagw.telemetry import start_logging
+from wisteriagw.telemetry import GAUGE_SECONDS, start_logging
 
 if TYPE_CHECKING:
     from collections.abc import Generator
@@ -72,10 +72,16 @@
     planner = FleetPlanner(context, client)
     turn = partial(_plan, planner=planner)
     LoopingCall(_run_logged, turn, context).start(settings["plan-seconds"], now=False)
+    LoopingCall(_send_gauges, context).start(GAUGE_SECONDS)
     reactor.addSystemEventTrigger("before", "shutdown", _release, context)
     reactor.run()
 
 
+def _send_gauges(context: ControlContext) -> None:
+    number = context.authority.keeper.get_fencing_number()
+    context.metrics.send("lease.held", int(number is not None))
+
+
 def _run_logged(function: Any, context: ControlContext) -> Deferred[None]:
     """Run one turn of a loop; an unexpected fault must not end the loop."""
     turn = function(context)
--- a/wisteriagw/control/_options.py
+++ b/wisteriagw/control/_options.py
@@ -9,6 +9,7 @@
     LOG,
     LOG_LEVEL,
     POLL_SECONDS,
+    STATSD,
     VM,
     VM_LIST,
     AddressKind,
@@ -59,4 +60,5 @@
     ),
     *RETENTION_OPTIONS,
     LOG_LEVEL,
+    STATSD,
 )
--- a/wisteriagw/entry/_options.py
+++ b/wisteriagw/entry/_options.py
@@ -6,6 +6,7 @@
     DATA_CENTRE,
     LOG,
     LOG_LEVEL,
+    STATSD,
     USAGE_WINDOW_SECONDS,
     VM,
     AddressKind,
@@ -61,12 +62,7 @@
     ),
     USAGE_WINDOW_SECONDS,
     LOG_LEVEL,
-    Option(
-        "statsd",
-        AddressKind(),
-        "",
-        "Address of the statsd server; without it no metrics are sent.",
-    ),
+    STATSD,
     *CALLER_TLS_OPTIONS,
     *FLEET_TLS_OPTIONS,
 )
--- a/wisteriagw/entry/_telemetry_wiring.py
+++ b/wisteriagw/entry/_telemetry_wiring.py
@@ -8,13 +8,14 @@
 from twisted.internet.task import LoopingCall
 
 from wisteriagw.entry._request_report import DONE, MAY_HAVE_RUN, NOT_RUN
+from wisteriagw.telemetry import GAUGE_SECONDS
 
 if TYPE_CHECKING:
     from wisteriagw.entry._entry_context import EntryContext
     from wisteriagw.entry._request_report import RequestReport
     from wisteriagw.telemetry import LineWriter, Metrics
 
-GAUGE_SECONDS = 10.0
+
 REQUEST_LINE = "wisteriagw:request"
 OUTCOME_METRICS = {
     DONE: "requests.done",
@@ -81,6 +82,7 @@
             metrics.send("config.read_age", age)
         metrics.send("permit.held", int(context.membership.get_permit().held))
         metrics.send("members.alive", len(context.membership.list_available()))
+        metrics.send("usage.unappended", len(context.usage.counter.pending))
         metrics.send("lines.dropped", self._writer.dropped_lines)
         self._send_growth("retries", context.retries.taken)
         self._send_growth("log.unavailable", context.log.unavailable_calls)
--- a/wisteriagw/reporter/_main.py
+++ b/wisteriagw/reporter/_main.py
@@ -19,7 +19,7 @@
 from wisteriagw.reporter._reporter_context import ReporterContext
 from wisteriagw.reporter._status_resource import StatusResource
 from wisteriagw.settings import load_settings
-from wisteriagw.telemetry import start_logging
+from wisteriagw.telemetry import GAUGE_SECONDS, start_logging
 
 if TYPE_CHECKING:
     from collections.abc import Generator
@@ -48,10 +48,17 @@
     # the renewal back.
     for turn in (follow, report):
         LoopingCall(_run_logged, turn, context).start(settings["poll-seconds"])
+    LoopingCall(_send_gauges, context).start(GAUGE_SECONDS)
     reactor.addSystemEventTrigger("before", "shutdown", _release, context)
     reactor.run()
 
 
+def _send_gauges(context: ReporterContext) -> None:
+    number = context.keeper.get_fencing_number()
+    context.metrics.send("lease.held", int(number is not None))
+    context.metrics.send("usage.unreported", len(context.list_unreported()))
+
+
 def _run_logged(turn: Any, context: ReporterContext) -> Deferred[None]:
     """Run one turn of a loop; an unexpected fault must not end the loop."""
     return turn(context).addErrback(_log_fault)
--- a/wisteriagw/reporter/_options.py
+++ b/wisteriagw/reporter/_options.py
@@ -8,6 +8,7 @@
     LOG,
     LOG_LEVEL,
     POLL_SECONDS,
+    STATSD,
     USAGE_WINDOW_SECONDS,
     VM,
     VM_LIST,
@@ -44,4 +45,5 @@
     POLL_SECONDS,
     *RETENTION_OPTIONS,
     LOG_LEVEL,
+    STATSD,
 )
--- a/wisteriagw/reporter/_reporter_context.py
+++ b/wisteriagw/reporter/_reporter_context.py
@@ -11,6 +11,7 @@
 from wisteriagw.leases import LeaseKeeper, ProcessIdentity
 from wisteriagw.platform import HttpLogClient, UsageClient, VmListClient
 from wisteriagw.reporter._reporter import Reporter
+from wisteriagw.telemetry import Metrics
 from wisteriagw.usage import (
     USAGE_CODEC,
     USAGE_STREAM,
@@ -36,6 +37,7 @@
         log = HttpLogClient(client, settings["log"])
         retention = build_retention(settings)
         self.settings = settings
+        self.metrics = Metrics(settings["statsd"], "usage", settings["vm"])
         self.clock = read_boot_time
         self.vm_list = VmListClient(client, settings["vm-list"])
         self.keeper = LeaseKeeper(log, USAGE_AUTHORITY, identity, self.clock)
@@ -58,3 +60,9 @@
             grace_seconds=settings["usage-grace-seconds"],
         )
         self.checkpoints = CheckpointWriter(log, self.follower, retention, self.clock)
+
+    def list_unreported(self) -> list[int]:
+        """Return the closed windows that are not reported yet."""
+        state = self.follower.state
+        windows = {key.window for key in state.totals}
+        return sorted(window for window in windows if window <= state.sealed_window)
--- a/wisteriagw/reporter/_status_resource.py
+++ b/wisteriagw/reporter/_status_resource.py
@@ -29,16 +29,13 @@
         context = self._context
         state, read_at = context.follower.state, context.follower.last_tip_read_at
         number = context.keeper.get_fencing_number()
-        closed = {key.window for key in state.totals}
         answer = {
             "vm": context.settings["vm"],
             "holds_authority": number is not None,
             "fencing_number": number,
             "unproved_ends": [former.vm for former in context.keeper.find_unproved()],
             "sealed_window": state.sealed_window,
-            "unreported_windows": sorted(
-                window for window in closed if window <= state.sealed_window
-            ),
+            "unreported_windows": context.list_unreported(),
             "state_incomplete": context.follower.state_incomplete,
             "tip_read_age_seconds": None
             if read_at is None
--- a/wisteriagw/settings/_common_options.py
+++ b/wisteriagw/settings/_common_options.py
@@ -32,6 +32,12 @@
     "60",
     "Length of a usage window; the same in every program.",
 )
+STATSD = Option(
+    "statsd",
+    AddressKind(),
+    "",
+    "Address of the statsd server; without it no metrics are sent.",
+)
 LOG_LEVEL = Option(
     "log-level",
     ChoiceKind(("debug", "info", "warning", "error")),
--- a/wisteriagw/telemetry/_metrics.py
+++ b/wisteriagw/telemetry/_metrics.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from typing import Any
 
+GAUGE_SECONDS = 10.0
 _KINDS = {metric.name: metric.kind for metric in METRICS}
 
 
