Test the search windows and the refusals of an incomplete state

healthz shows state_incomplete.

Guards removed once, each made a test fail: windows beyond the first, start from a checkpoint for a far tip, report without a codec, refusal of callers and of changes while the state is incomplete.

--- a/tests/test_checkpoints.py
+++ b/tests/test_checkpoints.py
@@ -158,6 +158,51 @@
         assert fresh.state == build_empty_config()
         assert fresh.last_tip_read_at is None
 
+    def test_search_goes_back_beyond_its_first_window(self) -> None:
+        log, clock = MemoryLog(4050), VirtualClock()
+        reader = build_follower(log, clock)
+        append_customers(log, 100)
+        reader.poll()
+        CheckpointWriter(log, reader, ALWAYS, clock).write_if_due()
+        for _ in range(4000):
+            log.append("config", b"garbage")
+        fresh = build_follower(log, clock)
+        fresh.poll()
+        assert log.read("config", 0, 1).result.first_offset > 0
+        assert fresh.state == reader.state
+        assert fresh.next_offset == log.tip("config")
+
+    def test_far_tip_is_reached_from_a_checkpoint_though_the_start_is_kept(self):
+        log, clock = MemoryLog(), VirtualClock()
+        reader = build_follower(log, clock)
+        append_customers(log, 2500)
+        reader.poll()
+        CheckpointWriter(log, reader, ALWAYS, clock).write_if_due()
+        applied: list[int] = []
+
+        def apply(record, state, offset):
+            applied.append(offset)
+            return apply_record(record, state, offset)
+
+        append_customers(log, 3)
+        fresh = StreamFollower(
+            log, "config", build_empty_config(), apply, clock, CONFIG_CODEC
+        )
+        fresh.poll()
+        reader.poll()
+        assert fresh.state == reader.state
+        assert len(applied) == 3
+
+    def test_follower_without_codec_folds_what_is_kept_and_says_so(self) -> None:
+        log = MemoryLog(KEPT)
+        append_customers(log, KEPT + 1)
+        reader = StreamFollower(
+            log, "config", build_empty_config(), apply_record, VirtualClock()
+        )
+        reader.poll()
+        assert reader.state_incomplete
+        assert len(reader.state.customers) == KEPT
+
     def test_search_that_another_poll_overtook_does_not_revert(self) -> None:
         log, clock = MemoryLog(KEPT), VirtualClock()
         reader, fresh = build_follower(log, clock), build_follower(log, clock)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import json
+
 import pytest
+from twisted.web.resource import getChildForRequest
 from twisted.web.test.requesthelper import DummyRequest
 
-from tests.support import OperatorCalls
+from tests.support import MemoryLog, OperatorCalls
 from wisteriagw.config import (
     COLUMNS,
     Confirmation,
@@ -14,6 +17,7 @@
 )
 from wisteriagw.entry._open_callers import OpenCallers
 from wisteriagw.entry._operator_access import load_operator_token
+from wisteriagw.entry._version_resource import VersionResource
 from wisteriagw.routing import RoutingDecision
 
 SHEET = ",".join(COLUMNS) + "\nmodel,ledger,1,,,,,,,,,,,,,"
@@ -213,6 +217,22 @@
         assert calls.log.tip("config") == 0
 
 
+class TestIncompleteState:
+    """Guards against a VM that serves callers from a part of the configuration."""
+
+    def test_callers_and_changes_are_refused(self) -> None:
+        calls = OperatorCalls(log=MemoryLog(max_records=10))
+        for _ in range(11):
+            calls.log.append("config", b"garbage")
+        status, answer = calls.call("customers", CREATE)
+        assert (status, answer["error"]["not_run"]) == (503, True)
+        assert calls.call("fleet")[1]["state_incomplete"] is True
+        version, request = VersionResource(calls.context), DummyRequest([b"chat"])
+        getChildForRequest(version, request).render(request)
+        error = json.loads(b"".join(request.written))["error"]
+        assert (error["code"], error["not_run"]) == ("no_permit", True)
+
+
 class FakeTransport:
     """Transport that notes whether it was aborted."""
 
--- a/wisteriagw/entry/_health_resource.py
+++ b/wisteriagw/entry/_health_resource.py
@@ -34,6 +34,7 @@
             "vm": self._context.settings["vm"],
             "config_revision": follower.state.revision,
             "config_read_age_seconds": age,
+            "state_incomplete": follower.state_incomplete,
         }
         write_json(request, 200, answer)
         return NOT_DONE_YET
