--- a/wisteriagw/entry/_health_resource.py
+++ b/wisteriagw/entry/_health_resource.py
@@ -39,6 +39,7 @@
             "available_vms": sorted(
                 member.vm for member in self._context.membership.list_available()
             ),
+            "state_incomplete": follower.state_incomplete,
         }
         write_json(request, 200, answer)
         return NOT_DONE_YET
