--- a/wisteriagw/authority/_decisions.py
+++ b/wisteriagw/authority/_decisions.py
@@ -1,10 +1,11 @@
 """Decisions about claiming, renewing and ending the authority.
 
 The store accepts an append only at the offset that its writer expects, so of several
-claims one wins, and a renewal that arrives after a claim is refused. A holder counts its
-term from the moment before its last accepted append was sent. A challenger claims after
-the newest record stayed the same for a whole term and a margin on its own clock, which
-also counts suspended time; by then the holder's term is over on every clock that runs.
+claims one wins, and a renewal that arrives after a claim is refused. A holder counts
+its term from the moment before its last accepted append was sent. A challenger claims
+after the newest record stayed the same for a whole term and a margin on its own clock,
+which also counts suspended time; by then the holder's term is over on every clock that
+runs.
 """
 
 from __future__ import annotations
--- a/wisteriagw/gateway/_attempts_at_servers.py
+++ b/wisteriagw/gateway/_attempts_at_servers.py
@@ -102,6 +102,7 @@
         self.server = server.name
         terms = self._build_terms(server)._replace(
             source=source,
+            fetch_from=None if source else self._find_address(plan.fetch_from),
             last_event=None if last_event == self._caller.last_event else last_event,
         )
         outcome = await self._send(server, plan, terms)
@@ -186,6 +187,7 @@
             excluded=excluded,
             server=plan.server if plan else "",
             prefill=plan.prefill if plan else "",
+            fetch_from=plan.fetch_from if plan else "",
             estimate=round(plan.seconds, 4) if plan else None,
             fleet_age=round(now - context.fleet.follower.read_at, 3)
             if math.isfinite(context.fleet.follower.read_at)
@@ -207,6 +209,10 @@
             priority,
         )
 
+    def _find_address(self, server: str) -> tuple[str, int] | None:
+        known = self._context.fleet.fleet.servers.get(server)
+        return None if known is None else known.address
+
     def _note_parts(self, server: str) -> None:
         prompt, engine = self._caller.prompt, self._service.engine
         if prompt is None or engine is None:
@@ -224,7 +230,9 @@
         hold = WorkHold(context.work, server.name, plan.uncached_tokens)
         self._hold = hold
         self._note_parts(server.name)
-        terms = self._build_terms(server)._replace(prefill_only=True)
+        terms = self._build_terms(server)._replace(
+            prefill_only=True, fetch_from=self._find_address(plan.fetch_from)
+        )
         started = context.reactor.seconds()
         try:
             self._answer = await context.pool.send(
--- a/wisteriagw/placement/_choice.py
+++ b/wisteriagw/placement/_choice.py
@@ -19,6 +19,9 @@
 SPLIT_SECONDS = 0.015
 # Moved KV cache is priced, so a split must save time that is worth the move.
 SPLIT_PENALTY_SECONDS = 0.03
+# Setting a fetch up; parts that are smaller than the bound are read as fast.
+FETCH_SECONDS = 0.01
+MIN_FETCHED_TOKENS = 1_000
 # Transfers between data centres take twice as long, says the protocol.
 REMOTE_TRANSFER_FACTOR = 2.0
 # A request beyond the slots waits for a running one to end.
@@ -57,11 +60,15 @@
     """Return the plan with the lowest estimated time to the first event, or None.
 
     A prompt is read whole by the engine that answers, or by an engine of the prefill
-    stage whose KV cache is moved to the engine that answers.
+    stage whose KV cache is moved to the engine that answers. Leading parts that another
+    engine keeps are fetched from there.
     """
     decode: list[tuple[float, ServerView]] = []
     prefill: list[ServerView] = []
+    keeper: ServerView | None = None
     for view in views:
+        if keeper is None or view.cached_tokens > keeper.cached_tokens:
+            keeper = view
         if view.name in excluded:
             continue
         if view.stage == "prefill":
@@ -69,16 +76,15 @@
             continue
         decode.append((estimate_batch_wait(view, data_centre), view))
     best: Plan | None = None
+    rate = rates.tokens_per_second * DECODE_STAGE_FACTOR
     for wait, view in decode:
-        uncached = max(0, prompt.tokens - view.cached_tokens)
-        tokens = view.waiting_tokens + uncached
-        reading = tokens / (rates.tokens_per_second * DECODE_STAGE_FACTOR)
-        seconds = wait + reading + rates.first_seconds
+        plan = plan_reading(prompt, view, keeper, rate, traits)
+        seconds = wait + plan.seconds + rates.first_seconds
         if best is None or seconds < best.seconds:
-            best = Plan(view.name, "", seconds, uncached)
+            best = plan._replace(seconds=seconds)
     if best is None or not prefill:
         return best
-    split = choose_split(prompt, decode, prefill, rates, traits)
+    split = choose_split(prompt, decode, prefill, keeper, rates, traits)
     if split.seconds + SPLIT_PENALTY_SECONDS < best.seconds:
         return split
     return best
@@ -88,23 +94,48 @@
     prompt: Prompt,
     decode: list[tuple[float, ServerView]],
     prefill: list[ServerView],
+    keeper: ServerView,
     rates: EngineRates,
     traits: EngineTraits,
 ) -> Plan:
     """Return the best plan that reads the prompt on an engine of the prefill stage."""
     best: Plan | None = None
     for reader in prefill:
-        uncached = max(0, prompt.tokens - reader.cached_tokens)
-        reading = (reader.waiting_tokens + uncached) / rates.tokens_per_second
-        reading += reader.suspicion
+        plan = plan_reading(prompt, reader, keeper, rates.tokens_per_second, traits)
+        reading = plan.seconds + reader.suspicion
         for wait, view in decode:
             seconds = reading + wait + rates.first_seconds + SPLIT_SECONDS
-            seconds += estimate_transfer(prompt, reader, view, traits)
+            tokens = max(0, prompt.tokens - view.cached_tokens)
+            seconds += estimate_transfer(tokens, reader, view, traits)
             if best is None or seconds < best.seconds:
-                best = Plan(view.name, reader.name, seconds, uncached)
+                best = plan._replace(
+                    server=view.name, prefill=reader.name, seconds=seconds
+                )
     return best
 
 
+def plan_reading(
+    prompt: Prompt,
+    reader: ServerView,
+    keeper: ServerView,
+    rate: float,
+    traits: EngineTraits,
+) -> Plan:
+    """Return how an engine reads a prompt, and how long it takes."""
+    cached = reader.cached_tokens
+    fetch_from, transfer = "", 0.0
+    missing = keeper.cached_tokens - cached
+    if missing >= MIN_FETCHED_TOKENS:
+        transfer = FETCH_SECONDS + estimate_transfer(missing, keeper, reader, traits)
+        if transfer < missing / rate:
+            fetch_from, cached = keeper.name, keeper.cached_tokens
+        else:
+            transfer = 0.0
+    uncached = max(0, prompt.tokens - cached)
+    seconds = transfer + (reader.waiting_tokens + uncached) / rate
+    return Plan(reader.name, "", fetch_from, seconds, uncached)
+
+
 def estimate_batch_wait(view: ServerView, data_centre: str) -> float:
     """Return the seconds that other requests and distance add on a server."""
     fill = (view.streams + 1) / view.slots
@@ -117,13 +148,12 @@
 
 
 def estimate_transfer(
-    prompt: Prompt, reader: ServerView, view: ServerView, traits: EngineTraits
+    tokens: int, sender: ServerView, receiver: ServerView, traits: EngineTraits
 ) -> float:
-    """Return the seconds that moving a prompt's KV cache takes."""
+    """Return the seconds that moving the KV cache of some tokens takes."""
     if not traits.link_mbps:
         return 0.0
-    tokens = max(0, prompt.tokens - view.cached_tokens)
     seconds = tokens * traits.token_bytes * 8 / (traits.link_mbps * 1e6)
-    if reader.data_centre != view.data_centre:
+    if sender.data_centre != receiver.data_centre:
         seconds *= REMOTE_TRANSFER_FACTOR
     return seconds
--- a/wisteriagw/placement/_plan.py
+++ b/wisteriagw/placement/_plan.py
@@ -14,6 +14,9 @@
         Backend server that answers.
     prefill : str
         Engine that reads the prompt before; empty if the answering one does.
+    fetch_from : str
+        Engine from which the reading engine fetches the leading parts of the prompt
+        that it lacks; empty if it reads them.
     seconds : float
         Estimated time to the first event.
     uncached_tokens : float
@@ -22,5 +25,6 @@
 
     server: str
     prefill: str = ""
+    fetch_from: str = ""
     seconds: float = 0.0
     uncached_tokens: float = 0.0
--- a/wisteriagw/platform/_forwarding.py
+++ b/wisteriagw/platform/_forwarding.py
@@ -70,6 +70,9 @@
         (host, port), handle = terms.source
         source = f"{host}:{port}/{handle}".encode("latin-1")
         headers.append((b"x-wisteriagw-kv-source", source))
+    if terms.fetch_from is not None:
+        host, port = terms.fetch_from
+        headers.append((b"kv-fetch", f"{host}:{port}".encode("latin-1")))
     if terms.last_event is not None:
         headers.append((b"last-event-id", b"%d" % terms.last_event))
     return HttpRequest(request.method, request.target, tuple(headers), request.body)
--- a/wisteriagw/platform/_forwarding_terms.py
+++ b/wisteriagw/platform/_forwarding_terms.py
@@ -25,6 +25,8 @@
         Whether the engine only reads the prompt.
     source : tuple or None
         Address and handle of the KV cache that an engine of the prefill stage keeps.
+    fetch_from : tuple or None
+        Address of an engine that keeps leading parts of the prompt.
     last_event : int or None
         Event that a continued stream goes on after; None leaves the caller's.
     """
@@ -35,4 +37,5 @@
     priority: int | None = None
     prefill_only: bool = False
     source: tuple[tuple[str, int], str] | None = None
+    fetch_from: tuple[str, int] | None = None
     last_event: int | None = None
