--- a/wisteriagw/gateway/_attempts_at_servers.py
+++ b/wisteriagw/gateway/_attempts_at_servers.py
@@ -165,7 +165,11 @@
     def _place(self, excluded: tuple[str, ...]) -> Plan | None:
         context, prompt = self._context, self._caller.prompt
         now = context.reactor.seconds()
-        servers = context.fleet.fleet.list_service(self._service.name)
+        servers = [
+            server
+            for server in context.fleet.fleet.list_service(self._service.name)
+            if not context.work.is_away(server.name, now)
+        ]
         views = context.work.list_views(servers, prompt, now)
         data_centre = context.settings.data_centre
         if self._service.engine is None or prompt is None:
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -26,6 +26,7 @@
 from wisteriagw.gateway._request_handler import RequestHandler
 from wisteriagw.gateway._retry_budgets import RetryBudgets
 from wisteriagw.gateway._scaler import Scaler
+from wisteriagw.gateway._stage_keeper import StageKeeper
 from wisteriagw.gateway._usage_counter import UsageCounter
 from wisteriagw.gateway._usage_reporter import UsageReporter, run_safely
 from wisteriagw.gateway._usage_writer import UsageWriter
@@ -95,6 +96,15 @@
         self._scaler = Scaler(
             reactor, duties, self._authority, self._configuration, self._fleet
         )
+        self._stages = StageKeeper(
+            reactor,
+            duties,
+            self._authority,
+            self._configuration,
+            self._fleet,
+            self._work,
+            self._announce_away,
+        )
         self.context = GatewayContext(
             reactor,
             settings,
@@ -197,7 +207,10 @@
         self._mesh.broadcast(news)
 
     def _take_news(self, sender: str, news: GatewayNews) -> None:
-        self._work.note_peer(sender, news.work, self._reactor.seconds())
+        now = self._reactor.seconds()
+        self._work.note_peer(sender, news.work, now)
+        for server, seconds in news.away:
+            self._work.note_away(server, now + seconds)
         for server, part, tokens in news.parts:
             known = self._fleet.fleet.servers.get(server)
             table = self._configuration.table
@@ -208,6 +221,11 @@
                 server, ((part, tokens),), service.engine.capacity_tokens
             )
 
+    def _announce_away(self, server: str, seconds: float) -> None:
+        self._work.note_away(server, self._reactor.seconds() + seconds)
+        self.context.news.note_away(server, seconds)
+        self._send_news()
+
     def _sweep(self) -> None:
         self._pool.close_idle()
         self._front.close_idle()
@@ -224,6 +242,7 @@
 
     async def _run_both(self) -> None:
         await run_safely(self._scaler.run_turn)
+        await run_safely(self._stages.run_turn)
         await run_safely(self._reporter.run_turn)
 
 
--- a/wisteriagw/gateway/_peer_news.py
+++ b/wisteriagw/gateway/_peer_news.py
@@ -13,6 +13,7 @@
 
     def __init__(self) -> None:
         self._parts: list[tuple[str, str, int]] = []
+        self._away: list[tuple[str, float]] = []
         self._demand: dict[str, float] = {}
 
     def note_parts(self, server: str, parts: list[tuple[str, int]]) -> None:
@@ -24,8 +25,15 @@
         """Take prompt tokens that were asked for."""
         self._demand[service] = self._demand.get(service, 0.0) + tokens
 
+    def note_away(self, server: str, seconds: float) -> None:
+        """Take that a server gets no requests for some seconds."""
+        self._away.append((server, seconds))
+
     def take(self, ready: bool, work: list[tuple[str, float, float]]) -> GatewayNews:
         """Return the next message."""
         parts, self._parts = self._parts[:MAX_ROWS], self._parts[MAX_ROWS:]
         demand, self._demand = self._demand, {}
-        return GatewayNews(ready, tuple(work), tuple(parts), tuple(demand.items()))
+        away, self._away = self._away, []
+        return GatewayNews(
+            ready, tuple(work), tuple(parts), tuple(demand.items()), tuple(away)
+        )
--- a/wisteriagw/gateway/_scaler.py
+++ b/wisteriagw/gateway/_scaler.py
@@ -5,7 +5,8 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
-from wisteriagw.outcomes import Done
+from wisteriagw.platform import is_done
+from wisteriagw.spending import CentreStock, plan_stock
 
 if TYPE_CHECKING:
     from wisteriagw.gateway._authority_keeper import AuthorityKeeper
@@ -13,6 +14,7 @@
     from wisteriagw.gateway._fleet_feed import FleetFeed
     from wisteriagw.platform import DutyClient
     from wisteriagw.routes import Service
+    from wisteriagw.spending import CentreOrder
 
 logger = logging.getLogger(__name__)
 
@@ -23,7 +25,7 @@
 
 
 class Scaler:
-    """Keeps the number of reclaimable servers in each data centre."""
+    """Orders and gives back servers so that the planned stock is held."""
 
     def __init__(
         self,
@@ -38,48 +40,49 @@
         self._authority = authority
         self._configuration = configuration
         self._fleet = fleet
-        self._quiet_until: dict[tuple[str, str], float] = {}
+        self._quiet_until: dict[tuple[str, str, bool], float] = {}
 
     async def run_turn(self) -> None:
         """Send the orders that are due, if this process holds the authority."""
         table = self._configuration.table
-        if table is None or self._authority.get_fencing_number() is None:
+        if table is None:
             return
         for service in list(table.services.values()):
-            if service.scaling is None or not service.scaling.reclaimable_price:
+            if service.scaling is None:
                 continue
-            for data_centre, _ in service.scaling.prices:
-                await self._order(service, data_centre)
+            stocks = self._list_stocks(service)
+            orders = plan_stock(
+                stocks,
+                service.scaling.min_servers,
+                service.scaling.max_servers,
+                service.scaling.reclaimable_price,
+            )
+            for order in orders:
+                await self._send(service, order)
 
-    async def _order(self, service: Service, data_centre: str) -> None:
+    def _list_stocks(self, service: Service) -> list[CentreStock]:
+        counts: dict[str, list[int]] = {}
+        for server in self._fleet.fleet.list_service(service.name):
+            held = counts.setdefault(server.data_centre, [0, 0])
+            held[server.reclaimable] += 1
+        return [
+            CentreStock(data_centre, price, *counts.get(data_centre, (0, 0)))
+            for data_centre, price in service.scaling.prices
+        ]
+
+    async def _send(self, service: Service, order: CentreOrder) -> None:
+        key = (service.name, order.data_centre, order.reclaimable)
         now = self._reactor.seconds()
-        key = (service.name, data_centre)
         number = self._authority.get_fencing_number()
         if number is None or now < self._quiet_until.get(key, float("-inf")):
             return
-        present = [
-            server
-            for server in self._fleet.fleet.list_service(service.name)
-            if server.data_centre == data_centre
-        ]
-        dependable = sum(1 for server in present if not server.reclaimable)
-        held = len(present) - dependable
-        wanted = max(0, service.scaling.max_servers - dependable)
-        if held >= wanted:
-            return
         outcome = await self._duties.order_servers(
-            service.name, data_centre, wanted, True, number
+            service.name, order.data_centre, order.count, order.reclaimable, number
         )
-        accepted = isinstance(outcome, Done) and outcome.status < 300
         pause = REFUSED_PAUSE_SECONDS
-        if accepted:
+        if is_done(outcome):
             pause = service.scaling.startup_seconds + SETTLE_SECONDS
         self._quiet_until[key] = self._reactor.seconds() + pause
         logger.info(
-            "ordered %d reclaimable servers of %s in %s, there are %d: %s",
-            wanted,
-            service.name,
-            data_centre,
-            held,
-            outcome,
+            "order %s of %s with number %d: %s", order, service.name, number, outcome
         )
--- /dev/null
+++ b/wisteriagw/gateway/_stage_keeper.py
@@ -0,0 +1,113 @@
+"""Orders that change the stages of engines, by the holder of the authority."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any
+
+from wisteriagw.platform import is_done, is_unknown
+from wisteriagw.roles import StagedEngine, plan_stages
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wisteriagw.gateway._authority_keeper import AuthorityKeeper
+    from wisteriagw.gateway._configuration_feed import ConfigurationFeed
+    from wisteriagw.gateway._fleet_feed import FleetFeed
+    from wisteriagw.placement import WorkTable
+    from wisteriagw.platform import DutyClient
+    from wisteriagw.roles import StageChange
+    from wisteriagw.routes import Service
+
+logger = logging.getLogger(__name__)
+
+# Time beside the change itself: running requests end first, and the register shows the
+# new stage after a heartbeat.
+FINISH_SECONDS = 2.0
+# An order whose answer was lost may be carried out this much later, says the platform.
+LATE_ORDER_SECONDS = 12.0
+REFUSED_PAUSE_SECONDS = 2.0
+
+
+class StageKeeper:
+    """Keeps the parts of the engines in each stage."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        duties: DutyClient,
+        authority: AuthorityKeeper,
+        configuration: ConfigurationFeed,
+        fleet: FleetFeed,
+        work: WorkTable,
+        announce: Callable[[str, float], None],
+    ) -> None:
+        self._reactor = reactor
+        self._duties = duties
+        self._authority = authority
+        self._configuration = configuration
+        self._fleet = fleet
+        self._work = work
+        self._announce = announce
+        self._ordered: dict[str, tuple[str, float]] = {}
+
+    async def run_turn(self) -> None:
+        """Send the order that is due, if this process holds the authority."""
+        table = self._configuration.table
+        if table is None or self._authority.get_fencing_number() is None:
+            return
+        for service in list(table.services.values()):
+            if service.engine is None:
+                continue
+            change = plan_stages(self._list_engines(service))
+            if change is not None:
+                await self._send(service, change)
+
+    def _list_engines(self, service: Service) -> list[StagedEngine]:
+        now = self._reactor.seconds()
+        servers = [s for s in self._fleet.fleet.list_service(service.name) if s.stage]
+        engines = []
+        for view, server in zip(
+            self._work.list_views(servers, None, now), servers, strict=True
+        ):
+            stage, until = self._ordered.get(server.name, ("", float("-inf")))
+            pending = now < until and stage != server.stage
+            if now >= until:
+                self._ordered.pop(server.name, None)
+            engines.append(
+                StagedEngine(
+                    server.name,
+                    server.data_centre,
+                    stage if pending and stage else server.stage,
+                    view.streams,
+                    pending,
+                )
+            )
+        return engines
+
+    async def _send(self, service: Service, change: StageChange) -> None:
+        number = self._authority.get_fencing_number()
+        server = self._fleet.fleet.servers.get(change.engine)
+        if number is None or server is None:
+            return
+        away = service.engine.stage_switch_seconds + FINISH_SECONDS
+        # The other VMs learn of the change before the engine refuses their requests.
+        self._announce(server.name, away)
+        outcome = await self._duties.order_stage(
+            server.address, server.name, change.stage, number
+        )
+        now = self._reactor.seconds()
+        if is_done(outcome):
+            self._ordered[server.name] = (change.stage, now + away)
+        elif is_unknown(outcome):
+            self._ordered[server.name] = (change.stage, now + LATE_ORDER_SECONDS)
+        else:
+            self._announce(server.name, 0.0)
+            self._ordered[server.name] = (server.stage, now + REFUSED_PAUSE_SECONDS)
+        logger.info(
+            "order to %s to change to %s with number %d: %s",
+            change.engine,
+            change.stage,
+            number,
+            outcome,
+        )
--- a/wisteriagw/messages/_gateway_news.py
+++ b/wisteriagw/messages/_gateway_news.py
@@ -22,9 +22,13 @@
         the last message.
     demand : tuple
         Rows of service and prompt tokens asked for since the last message.
+    away : tuple
+        Rows of backend server and seconds for which it takes no requests, because the
+        sender has ordered a change.
     """
 
     ready: bool
     work: tuple = ()
     parts: tuple = ()
     demand: tuple = ()
+    away: tuple = ()
--- a/wisteriagw/placement/_work_table.py
+++ b/wisteriagw/placement/_work_table.py
@@ -35,6 +35,7 @@
         self._own: dict[str, list[float]] = {}
         self._peers: dict[str, tuple[float, dict[str, tuple[float, float]]]] = {}
         self._failures: dict[str, tuple[float, float]] = {}
+        self._away_until: dict[str, float] = {}
 
     def add(self, server: str, tokens: float, streams: int) -> None:
         """Change the own work on a server."""
@@ -74,6 +75,14 @@
                 return
             self._failures[server] = (suspicion, now)
 
+    def note_away(self, server: str, until: float) -> None:
+        """Take that a server gets no requests until a time."""
+        self._away_until[server] = until
+
+    def is_away(self, server: str, now: float) -> bool:
+        """Return whether a server gets no requests because of an order."""
+        return now < self._away_until.get(server, float("-inf"))
+
     def get_suspicion(self, server: str, now: float) -> float:
         """Return the seconds that recent failures add to a server's estimate."""
         known = self._failures.get(server)
@@ -85,6 +94,7 @@
     def forget(self, server: str) -> None:
         """Drop what is known of a server that is gone or started again."""
         self.parts.forget(server)
+        self._away_until.pop(server, None)
         self._failures.pop(server, None)
 
     def list_views(
