Copy usage to the other VMs and seal windows when all have written

Cause: the counts of a VM that was cut off from the store for 6.6 s came after their window was sealed (off by 62 to 87 of about 450). Each process now sends its counts to the others once a second; the holder takes the higher of the stored and the copied count and waits up to three quarters of the due time for a VM that has not written. The time of day is read through a clock that does not follow jumps.

--- a/wisteriagw/clocks/__init__.py
+++ b/wisteriagw/clocks/__init__.py
@@ -3,5 +3,6 @@
 from __future__ import annotations
 
 from wisteriagw.clocks._readings import read_boot_time, read_wall_time
+from wisteriagw.clocks._steady_wall_clock import SteadyWallClock
 
-__all__ = ["read_boot_time", "read_wall_time"]
+__all__ = ["SteadyWallClock", "read_boot_time", "read_wall_time"]
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -10,7 +10,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall, deferLater
 
-from wisteriagw.clocks import read_wall_time
+from wisteriagw.clocks import SteadyWallClock, read_wall_time
 from wisteriagw.connections import CallClient, ConnectionPool, ServerFactory
 from wisteriagw.gateway._authority_keeper import AuthorityKeeper
 from wisteriagw.gateway._configuration_feed import ConfigurationFeed
@@ -27,7 +27,8 @@
 from wisteriagw.gateway._retry_budgets import RetryBudgets
 from wisteriagw.gateway._scaler import Scaler
 from wisteriagw.gateway._stage_keeper import StageKeeper
-from wisteriagw.gateway._usage_counter import UsageCounter
+from wisteriagw.gateway._usage_copies import UsageCopies
+from wisteriagw.gateway._usage_counter import KEPT_WINDOWS, UsageCounter
 from wisteriagw.gateway._usage_reporter import UsageReporter, run_safely
 from wisteriagw.gateway._usage_writer import UsageWriter
 from wisteriagw.mesh import Mesh
@@ -77,21 +78,31 @@
             reactor, self._store, settings.withdrawal_seconds, self._apply
         )
         self._fleet = FleetFeed(reactor, self._store, self._forget_server)
-        self._usage = UsageCounter(settings.usage_window, read_wall_time)
+        wall_clock = SteadyWallClock(read_wall_time, reactor.seconds).read
+        self._incarnation = incarnation
+        self._copies = UsageCopies()
+        self._usage = UsageCounter(settings.usage_window, wall_clock)
         self._usage_writer = UsageWriter(
             reactor,
             self._store,
             self._usage,
+            settings.vm,
             incarnation,
             settings.usage_window,
-            read_wall_time,
+            wall_clock,
         )
         self._authority = AuthorityKeeper(
             reactor, self._store, settings.vm, incarnation, settings.lease_seconds
         )
         duties = DutyClient(calls, settings.duties, settings.vm)
         self._reporter = UsageReporter(
-            self._store, duties, self._authority, settings, read_wall_time
+            self._store,
+            duties,
+            self._authority,
+            settings,
+            wall_clock,
+            self._get_copies,
+            lambda: self._members.entries,
         )
         self._scaler = Scaler(
             reactor, duties, self._authority, self._configuration, self._fleet
@@ -115,7 +126,7 @@
             RatesBook(),
             RetryBudgets(settings),
             self._usage,
-            PeerNews(),
+            PeerNews(incarnation, self._usage),
             DecisionLog(reactor.seconds),
             GatewayMetrics(),
             random.random,
@@ -175,7 +186,7 @@
             if passed >= linger and not self._front.count_busy():
                 break
             await deferLater(self._reactor, BUSY_CHECK_SECONDS)
-        writing = Deferred.fromCoroutine(self._usage_writer.write(float("inf")))
+        writing = Deferred.fromCoroutine(self._write_last_usage())
         writing.addTimeout(EXIT_MARGIN_SECONDS / 2, self._reactor)
         try:
             await writing
@@ -183,6 +194,15 @@
             logger.warning("usage is lost at the end: %s", error)
         logger.info("stopped with %d open requests", self._front.count_busy())
 
+    async def _write_last_usage(self) -> None:
+        await self._usage_writer.write(self._usage.get_window() + 1)
+
+    def _get_copies(self, window: int) -> dict[str, dict[str, int]]:
+        own = [row for row in self._usage.list_rows(KEPT_WINDOWS) if row[0] == window]
+        self._copies.take(self._incarnation, own)
+        self._copies.prune(window)
+        return self._copies.get(window)
+
     def _listen(self, address: tuple[str, int], factory: ServerFactory) -> None:
         host, port = address
         self._reactor.listenTCP(port, factory, LISTEN_BACKLOG, interface=host)
@@ -209,6 +229,7 @@
     def _take_news(self, sender: str, news: GatewayNews) -> None:
         now = self._reactor.seconds()
         self._work.note_peer(sender, news.work, now)
+        self._copies.take(news.incarnation, news.usage)
         for server, seconds in news.away:
             self._work.note_away(server, now + seconds)
         for server, part, tokens in news.parts:
--- a/wisteriagw/gateway/_peer_news.py
+++ b/wisteriagw/gateway/_peer_news.py
@@ -2,16 +2,27 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from wisteriagw.messages import GatewayNews
 
+if TYPE_CHECKING:
+    from wisteriagw.gateway._usage_counter import UsageCounter
+
 # Rows in one message; what is left waits for the next one.
 MAX_ROWS = 400
+# Usage goes with every so many messages, and covers the current and the last window.
+USAGE_MESSAGES = 5
+USAGE_WINDOWS = 2
 
 
 class PeerNews:
     """Prompt parts and demand that the peers have not been told of."""
 
-    def __init__(self) -> None:
+    def __init__(self, incarnation: str, usage: UsageCounter) -> None:
+        self._incarnation = incarnation
+        self._usage = usage
+        self._messages = 0
         self._parts: list[tuple[str, str, int]] = []
         self._away: list[tuple[str, float]] = []
         self._demand: dict[str, float] = {}
@@ -34,6 +45,16 @@
         parts, self._parts = self._parts[:MAX_ROWS], self._parts[MAX_ROWS:]
         demand, self._demand = self._demand, {}
         away, self._away = self._away, []
+        self._messages += 1
+        usage = []
+        if self._messages % USAGE_MESSAGES == 0:
+            usage = self._usage.list_rows(USAGE_WINDOWS)
         return GatewayNews(
-            ready, tuple(work), tuple(parts), tuple(demand.items()), tuple(away)
+            ready,
+            tuple(work),
+            tuple(parts),
+            tuple(demand.items()),
+            tuple(away),
+            self._incarnation,
+            tuple(usage),
         )
--- a/wisteriagw/gateway/_usage_counter.py
+++ b/wisteriagw/gateway/_usage_counter.py
@@ -7,35 +7,48 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+# Windows that are kept after they were written, for peers that ask late.
+KEPT_WINDOWS = 4
+
 
 class UsageCounter:
-    """Counts the requests of this VM until they are in the store."""
+    """Counts the requests of this process; counts of a window only rise."""
 
     def __init__(self, seconds: float, wall_clock: Callable[[], float]) -> None:
         self._seconds = seconds
         self._wall_clock = wall_clock
         self._windows: dict[int, dict[str, int]] = {}
+        self._first_unwritten = self.get_window()
+
+    def get_window(self) -> int:
+        """Return the window of this moment."""
+        return int(self._wall_clock() // self._seconds)
 
     def count(self, customer: str) -> None:
         """Take a request that began to run now."""
-        window = int(self._wall_clock() // self._seconds)
-        counts = self._windows.setdefault(window, {})
+        counts = self._windows.setdefault(self.get_window(), {})
         counts[customer] = counts.get(customer, 0) + 1
 
-    def take(self, before: int) -> dict[int, dict[str, int]]:
-        """Return and drop the counts of all windows before one."""
-        taken = {
-            window: counts
+    def list_rows(self, windows: int) -> list[tuple[int, str, int]]:
+        """Return rows of window, customer and count of the newest windows."""
+        oldest = self.get_window() - windows + 1
+        return [
+            (window, customer, count)
             for window, counts in self._windows.items()
-            if window < before
+            if window >= oldest
+            for customer, count in counts.items()
+        ]
+
+    def list_unwritten(self, before: int) -> dict[int, dict[str, int]]:
+        """Return windows before one that the store may lack, also empty ones."""
+        return {
+            window: self._windows.get(window, {})
+            for window in range(self._first_unwritten, before)
         }
-        for window in taken:
-            del self._windows[window]
-        return taken
-
-    def put_back(self, windows: dict[int, dict[str, int]]) -> None:
-        """Take back counts that did not reach the store."""
-        for window, counts in windows.items():
-            kept = self._windows.setdefault(window, {})
-            for customer, count in counts.items():
-                kept[customer] = kept.get(customer, 0) + count
+
+    def note_written(self, before: int) -> None:
+        """Take that the store has all windows before one."""
+        self._first_unwritten = max(self._first_unwritten, before)
+        for window in list(self._windows):
+            if window < before - KEPT_WINDOWS:
+                del self._windows[window]
--- a/wisteriagw/gateway/_usage_reporter.py
+++ b/wisteriagw/gateway/_usage_reporter.py
@@ -14,22 +14,31 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from wisteriagw.gateway._authority_keeper import AuthorityKeeper
     from wisteriagw.platform import DutyClient, NodeSettings, StoreClient
 
 logger = logging.getLogger(__name__)
 
-# A window is closed at this part of the time after which its report is late: the VMs
-# have written their counts by then, and a new holder has time for another try.
-CLOSE_PART = 0.35
+# Parts of the time after which a report is late. A window is closed early if all VMs
+# have written their counts, and otherwise in time for another try.
+EARLY_PART = 0.15
+LATEST_PART = 0.75
 # Reports of older windows were sent, or are too late by now.
 MAX_WINDOWS_BACK = 4
 
 
 class UsageReporter:
-    """Seals windows in the store and reports their figures."""
+    """Seals windows in the store and reports their figures.
+
+    Parameters
+    ----------
+    get_copies : callable
+        ``get_copies(window)`` returns the counts that peers have sent, by process.
+    list_vms : callable
+        Returns the VMs whose counts are expected.
+    """
 
     def __init__(
         self,
@@ -38,32 +47,32 @@
         authority: AuthorityKeeper,
         settings: NodeSettings,
         wall_clock: Callable[[], float],
+        get_copies: Callable[[int], dict[str, dict[str, int]]],
+        list_vms: Callable[[], Iterable[str]],
     ) -> None:
         self._store = store
         self._duties = duties
         self._authority = authority
         self._settings = settings
         self._wall_clock = wall_clock
+        self._get_copies = get_copies
+        self._list_vms = list_vms
         self._windows = UsageWindows()
         self._next_offset = 0
         self._reported: set[int] = set()
-        self._number: int | None = None
 
     async def run_turn(self) -> None:
         """Seal and report what is due, if this process holds the authority."""
-        number = self._authority.get_fencing_number()
-        if number is None:
+        if self._authority.get_fencing_number() is None:
             return
-        settings = self._settings
-        closable = self._wall_clock() - CLOSE_PART * settings.usage_due
-        newest = int(closable // settings.usage_window) - 1
-        if number != self._number:
-            self._number = number
-            await self._read()
-        elif not self._is_due(newest):
+        newest = self._find_ended(EARLY_PART)
+        if newest in self._reported:
             return
         await self._read()
         for window in self._windows.list_unsealed(newest):
+            late = window <= self._find_ended(LATEST_PART)
+            if not late and not self._windows.is_complete(window, self._list_vms()):
+                break
             if not await self._seal(window):
                 return
         for window in sorted(self._windows.sealed):
@@ -71,8 +80,11 @@
                 continue
             await self._report(window)
 
-    def _is_due(self, newest: int) -> bool:
-        return newest not in self._reported
+    def _find_ended(self, part: float) -> int:
+        """Return the newest window that ended a part of the due time ago."""
+        settings = self._settings
+        ended = self._wall_clock() - part * settings.usage_due
+        return int(ended // settings.usage_window) - 1
 
     async def _read(self) -> None:
         while True:
@@ -83,7 +95,7 @@
                 return
 
     async def _seal(self, window: int) -> bool:
-        counts = self._windows.get_counts(window)
+        counts = self._windows.sum_counts(window, self._get_copies(window))
         try:
             await self._store.append(
                 USAGE_TOPIC, [("", encode_seal(window, counts))], self._next_offset
--- a/wisteriagw/gateway/_usage_windows.py
+++ b/wisteriagw/gateway/_usage_windows.py
@@ -1,4 +1,4 @@
-"""Usage of all VMs as the store has it."""
+"""Usage of all processes as the store has it."""
 
 from __future__ import annotations
 
@@ -7,6 +7,8 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
     from wisteriagw.platform import StoreRecord
 
 logger = logging.getLogger(__name__)
@@ -29,8 +31,8 @@
     def __init__(self) -> None:
         self.sealed: dict[int, dict[str, int]] = {}
         self.first: int | None = None
-        self._open: dict[int, dict[str, int]] = {}
-        self._batches: set[tuple[str, int]] = set()
+        self._open: dict[int, dict[str, dict[str, int]]] = {}
+        self._writers: dict[int, set[str]] = {}
 
     def take_records(self, records: tuple[StoreRecord, ...]) -> None:
         """Apply records in their order."""
@@ -40,9 +42,26 @@
             except (ValueError, TypeError, KeyError, AttributeError) as error:
                 logger.warning("usage record %d: %s", record.offset, error)
 
-    def get_counts(self, window: int) -> dict[str, int]:
-        """Return the counts of a window that is not sealed."""
-        return self._open.get(window, {})
+    def sum_counts(
+        self, window: int, copies: Mapping[str, Mapping[str, int]]
+    ) -> dict[str, int]:
+        """Return a window's figures from the store's counts and peers' copies.
+
+        Both are totals of a process, so the higher one of each customer counts.
+        """
+        stored = self._open.get(window, {})
+        figures: dict[str, int] = {}
+        for process in sorted({*stored, *copies}):
+            counts = dict(stored.get(process, {}))
+            for customer, count in copies.get(process, {}).items():
+                counts[customer] = max(count, counts.get(customer, 0))
+            for customer, count in counts.items():
+                figures[customer] = figures.get(customer, 0) + count
+        return figures
+
+    def is_complete(self, window: int, vms: Iterable[str]) -> bool:
+        """Return whether all of some VMs have written their counts of a window."""
+        return self._writers.get(window, set()).issuperset(vms)
 
     def list_unsealed(self, newest: int) -> list[int]:
         """Return the windows up to one that are not sealed, oldest first."""
@@ -56,27 +75,33 @@
             if window not in self.sealed:
                 self.sealed[window] = dict(fields["counts"])
                 self._open.pop(window, None)
+                self._writers.pop(window, None)
                 self._note_window(window)
             return
-        batch = (str(fields["batch"][0]), int(fields["batch"][1]))
-        if batch in self._batches:
-            return
-        self._batches.add(batch)
+        vm, process = str(fields["vm"]), str(fields["incarnation"])
         for text, counts in fields["windows"].items():
             window = int(text)
-            self._note_window(window)
             if window in self.sealed:
                 logger.warning("usage of the sealed window %d came late", window)
                 continue
-            kept = self._open.setdefault(window, {})
-            for customer, count in counts.items():
-                kept[customer] = kept.get(customer, 0) + int(count)
+            self._note_window(window)
+            self._writers.setdefault(window, set()).add(vm)
+            processes = self._open.setdefault(window, {})
+            processes[process] = {name: int(count) for name, count in counts.items()}
 
     def _note_window(self, window: int) -> None:
         if self.first is None or window < self.first:
             self.first = window
 
 
-def encode_seal(window: int, counts: dict[str, int]) -> bytes:
+def encode_seal(window: int, counts: Mapping[str, int]) -> bytes:
     """Return the record that fixes the figures of a window."""
-    return json.dumps({"sealed": window, "counts": counts}).encode("utf-8")
+    return json.dumps({"sealed": window, "counts": dict(counts)}).encode("utf-8")
+
+
+def encode_counts(
+    vm: str, incarnation: str, windows: Mapping[int, Mapping[str, int]]
+) -> bytes:
+    """Return the record of a process's counts."""
+    fields = {"vm": vm, "incarnation": incarnation, "windows": windows}
+    return json.dumps(fields).encode("utf-8")
--- a/wisteriagw/gateway/_usage_writer.py
+++ b/wisteriagw/gateway/_usage_writer.py
@@ -1,14 +1,14 @@
-"""Writing of this VM's usage to the store."""
+"""Writing of this process's usage to the store."""
 
 from __future__ import annotations
 
-import json
 import logging
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.task import deferLater
 
+from wisteriagw.gateway._usage_windows import encode_counts
 from wisteriagw.platform import USAGE_TOPIC, StoreUnavailableError
 
 if TYPE_CHECKING:
@@ -27,8 +27,8 @@
 class UsageWriter:
     """Appends the counts of each window soon after its end.
 
-    A batch keeps its number until the store has it, so that one whose answer was lost
-    counts once.
+    The counts are totals of this process, so a record that is appended twice counts
+    once.
     """
 
     def __init__(
@@ -36,6 +36,7 @@
         reactor: Any,
         store: StoreClient,
         counter: UsageCounter,
+        vm: str,
         incarnation: str,
         seconds: float,
         wall_clock: Callable[[], float],
@@ -43,10 +44,10 @@
         self._reactor = reactor
         self._store = store
         self._counter = counter
+        self._vm = vm
         self._incarnation = incarnation
         self._seconds = seconds
         self._wall_clock = wall_clock
-        self._number = 0
         self._running: Deferred[None] | None = None
 
     def start(self) -> None:
@@ -59,22 +60,20 @@
         if self._running is not None:
             self._running.cancel()
 
-    async def write(self, before: float) -> None:
+    async def write(self, before: int) -> None:
         """Append the counts of all windows before one until the store has them."""
-        windows = self._counter.take(before)
-        if not windows:
-            return
-        self._number += 1
-        value = json.dumps(
-            {"batch": [self._incarnation, self._number], "windows": windows}
-        ).encode("utf-8")
         while True:
+            windows = self._counter.list_unwritten(before)
+            if not windows:
+                return
+            value = encode_counts(self._vm, self._incarnation, windows)
             try:
                 await self._store.append(USAGE_TOPIC, [("", value)])
             except StoreUnavailableError as error:
                 logger.info("usage is not written yet: %s", error)
                 await deferLater(self._reactor, PAUSE_SECONDS)
                 continue
+            self._counter.note_written(before)
             return
 
     async def _run(self) -> None:
@@ -83,7 +82,7 @@
             window = int(now // self._seconds)
             due = (window + 1) * self._seconds + WRITE_DELAY_SECONDS
             await deferLater(self._reactor, max(0.05, due - now))
-            await self.write(int(self._wall_clock() // self._seconds))
+            await self.write(self._counter.get_window())
 
     def _log_end(self, failure: Any) -> None:
         if not failure.check(CancelledError):
--- a/wisteriagw/messages/_gateway_news.py
+++ b/wisteriagw/messages/_gateway_news.py
@@ -25,6 +25,11 @@
     away : tuple
         Rows of backend server and seconds for which it takes no requests, because the
         sender has ordered a change.
+    incarnation : str
+        Process that sends the message.
+    usage : tuple
+        Rows of usage window, customer and requests that the sender began, about once
+        a second.
     """
 
     ready: bool
@@ -32,3 +37,5 @@
     parts: tuple = ()
     demand: tuple = ()
     away: tuple = ()
+    incarnation: str = ""
+    usage: tuple = ()
