Test the adapter, the authority, placement, admission and connections without the bench

Guards against: foreign records and answers, confused outcomes of the store's calls, two holders under lost, late and paused appends (property test in virtual time), prompts read again, smuggled requests and cut answers.

--- /dev/null
+++ b/tests/test_authority.py
@@ -0,0 +1,224 @@
+"""Tests of the authority through conditional appends."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from twisted.internet.task import Clock
+
+from wisteriagw.authority import Grant, Turn, decide_turn, find_end
+from wisteriagw.gateway._authority_keeper import AuthorityKeeper
+from wisteriagw.platform import AUTHORITY_TOPIC
+from wisteriagw.standins import TopicStore
+
+TERM = 3.0
+
+
+class TestDecisions:
+    """Two processes must never act in the same moment."""
+
+    def test_first_process_claims_at_once(self) -> None:
+        assert decide_turn(None, "a", 0.0, TERM, 0.0) is Turn.CLAIM
+
+    @pytest.mark.parametrize(
+        ("passed", "turn"),
+        [(0.0, Turn.WAIT), (TERM, Turn.WAIT), (1.3 * TERM, Turn.CLAIM)],
+    )
+    def test_challenger_waits_for_the_whole_term(self, passed: float, turn) -> None:
+        grant = Grant("vm-1", "a", 1)
+        assert decide_turn(grant, "b", 10.0, TERM, 10.0 + passed) is turn
+
+    def test_holder_stops_before_a_challenger_may_claim(self) -> None:
+        grant = Grant("vm-1", "a", 1)
+        end = find_end(10.0, TERM)
+        assert decide_turn(grant, "b", 10.0, TERM, end) is Turn.WAIT
+
+    def test_holder_renews_before_its_end(self) -> None:
+        grant = Grant("vm-1", "a", 1)
+        assert decide_turn(grant, "a", 10.0, TERM, 10.0 + TERM / 2) is Turn.RENEW
+        assert find_end(10.0, TERM) > 10.0 + TERM / 2
+
+
+class SkewedClock:
+    """Clock of one process: it may stand still for the process, never for time."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._held = []
+        self.paused = False
+
+    def seconds(self) -> float:
+        return self._clock.seconds()
+
+    def callLater(self, delay, function, *arguments):
+        def call() -> None:
+            if self.paused:
+                self._held.append((function, arguments))
+                return
+            function(*arguments)
+
+        return self._clock.callLater(delay, call)
+
+    def resume(self) -> None:
+        self.paused = False
+        held, self._held = self._held, []
+        for function, arguments in held:
+            function(*arguments)
+
+
+class SlowStore:
+    """The store stand-in with a little time for each call."""
+
+    def __init__(self, store: TopicStore, clock: SkewedClock) -> None:
+        self._store = store
+        self._clock = clock
+
+    async def append(self, *arguments):
+        from twisted.internet.task import deferLater
+
+        await deferLater(self._clock, 0.004)
+        return await self._store.append(*arguments)
+
+    async def read(self, topic, start, wait=0.0):
+        from twisted.internet.task import deferLater
+
+        await deferLater(self._clock, max(0.004, wait))
+        return await self._store.read(topic, start)
+
+    async def read_newest(self, topic):
+        from twisted.internet.task import deferLater
+
+        await deferLater(self._clock, 0.004)
+        return await self._store.read_newest(topic)
+
+
+class Processes:
+    """Several keepers on one store in virtual time."""
+
+    def __init__(self, count: int) -> None:
+        self.clock = Clock()
+        self.store = TopicStore()
+        self.clocks = []
+        self.keepers = []
+        self.acted: list[tuple[float, int, int]] = []
+        for index in range(count):
+            self.start(index)
+
+    def start(self, index: int) -> None:
+        clock = SkewedClock(self.clock)
+        incarnation = f"{index}-{len(self.keepers)}"
+        keeper = AuthorityKeeper(
+            clock, SlowStore(self.store, clock), f"vm-{index}", incarnation, TERM
+        )
+        self.clocks.append(clock)
+        self.keepers.append((index, keeper))
+        keeper.start()
+
+    def advance(self, seconds: float) -> None:
+        for _ in range(int(seconds / 0.05)):
+            self.clock.advance(0.05)
+            holders = []
+            for clock, (index, keeper) in zip(self.clocks, self.keepers, strict=True):
+                number = keeper.get_fencing_number()
+                if number is not None and not clock.paused:
+                    holders.append((index, number))
+            assert len(holders) <= 1, holders
+            for index, number in holders:
+                self.acted.append((self.clock.seconds(), index, number))
+
+
+class TestKeepers:
+    """Faults of the store and pauses must not give two holders or lower numbers."""
+
+    def test_one_process_holds_it(self) -> None:
+        processes = Processes(3)
+        processes.advance(2.0)
+        assert {index for _, index, _ in processes.acted} in ({0}, {1}, {2})
+
+    def test_another_takes_over_from_a_paused_holder(self) -> None:
+        processes = Processes(2)
+        processes.advance(2.0)
+        holder = processes.acted[-1][1]
+        processes.clocks[holder].paused = True
+        processes.advance(8.0)
+        assert processes.acted[-1][1] == 1 - holder
+        processes.clocks[holder].resume()
+        processes.advance(8.0)
+        assert processes.acted[-1][1] == 1 - holder
+
+    def test_lost_answer_of_a_claim_is_taken_up_by_reading(self) -> None:
+        processes = Processes(0)
+        processes.store.lose_answers = 1
+        processes.start(0)
+        processes.advance(4.0)
+        assert processes.acted
+
+    def test_late_renewal_is_refused_after_a_claim(self) -> None:
+        processes = Processes(2)
+        processes.advance(2.0)
+        holder = processes.acted[-1][1]
+        processes.store.hold_appends = 1
+        processes.advance(1.5)
+        processes.clocks[holder].paused = True
+        processes.advance(6.0)
+        processes.store.apply_late()
+        processes.advance(3.0)
+        assert processes.acted[-1][1] == 1 - holder
+
+    def test_history_that_is_gone_does_not_lower_the_number(self) -> None:
+        processes = Processes(1)
+        processes.advance(3.0)
+        first = processes.acted[-1][2]
+        processes.keepers[0][1].stop()
+        processes.store.forget(AUTHORITY_TOPIC)
+        processes.start(1)
+        processes.advance(6.0)
+        assert processes.acted[-1][2] > first
+
+    @settings(max_examples=30, deadline=None, derandomize=True)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(
+                    ["pause", "resume", "lose", "hold", "late", "down", "up", "start"]
+                ),
+                st.integers(0, 2),
+                st.sampled_from([0.2, 0.8, 2.0, 4.5]),
+            ),
+            max_size=12,
+        )
+    )
+    def test_any_order_of_faults(self, events) -> None:
+        processes = Processes(3)
+        for event, index, seconds in events:
+            if event == "pause":
+                processes.clocks[index].paused = True
+            elif event == "resume":
+                processes.clocks[index].resume()
+            elif event == "lose":
+                processes.store.lose_answers += 1
+            elif event == "hold":
+                processes.store.hold_appends += 1
+            elif event == "late":
+                processes.store.apply_late()
+            elif event == "start":
+                processes.clocks[index].paused = True
+                processes.start(index)
+            else:
+                processes.store.down = event == "down"
+            processes.advance(seconds)
+        numbers = [number for _, _, number in processes.acted]
+        assert numbers == sorted(numbers)
+        self.check_turns(processes.acted)
+
+    def check_turns(self, acted) -> None:
+        """No holder comes back within a term of the one between."""
+        changes = []
+        for at, index, _ in acted:
+            if not changes or changes[-1][1] != index:
+                changes.append([at, index, at])
+            changes[-1][2] = at
+        for before, _, after in zip(changes, changes[1:], changes[2:], strict=False):
+            if before[1] == after[1]:
+                assert after[0] - before[2] > TERM
--- /dev/null
+++ b/tests/test_connections.py
@@ -0,0 +1,267 @@
+"""Tests of the HTTP connections of both sides."""
+
+from __future__ import annotations
+
+import pytest
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
+
+from wisteriagw.connections import (
+    AnswerLostError,
+    HttpRequest,
+    ServerFactory,
+)
+from wisteriagw.connections._client_connection import ClientConnection
+from wisteriagw.routes import CallerLimits
+
+
+class ClosableTransport(StringTransport):
+    """Keeps what was written and whether the connection was closed or aborted."""
+
+    aborted = False
+
+    def abortConnection(self) -> None:
+        self.aborted = True
+
+    def setTcpNoDelay(self, enabled) -> None:
+        pass
+
+    def setTcpKeepAlive(self, enabled) -> None:
+        pass
+
+
+def collect(coroutine) -> list:
+    """Start a coroutine and return a list that gets its result."""
+    results: list = []
+    Deferred.fromCoroutine(coroutine).addBoth(results.append)
+    return results
+
+
+class TestServerConnection:
+    """Requests must not be smuggled, mixed up or answered after their caller left."""
+
+    def connect(self, limits: CallerLimits | None = None):
+        self.taken = []
+        self.now = 0.0
+        factory = ServerFactory(
+            lambda request, responder: self.taken.append((request, responder)),
+            limits or CallerLimits(),
+            lambda: self.now,
+        )
+        connection = factory.buildProtocol(None)
+        transport = ClosableTransport()
+        connection.makeConnection(transport)
+        return factory, connection, transport
+
+    def test_whole_request_is_passed_on(self) -> None:
+        _, connection, transport = self.connect()
+        connection.dataReceived(b"POST /a?b HTTP/1.1\r\nHost: x\r\nContent-Le")
+        connection.dataReceived(b"ngth: 4\r\n\r\nbo")
+        assert self.taken == []
+        connection.dataReceived(b"dy")
+        request, responder = self.taken[0]
+        assert (request.method, request.target) == (b"POST", b"/a?b")
+        assert request.body == b"body"
+        responder.reply(200, (), b"ok")
+        assert transport.value().endswith(b"\r\n\r\nok")
+
+    def test_chunked_body_is_joined(self) -> None:
+        _, connection, _ = self.connect()
+        connection.dataReceived(
+            b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        )
+        assert self.taken[0][0].body == b"abcde"
+
+    def test_second_request_waits_for_the_first_answer(self) -> None:
+        _, connection, _ = self.connect()
+        one = b"GET /%d HTTP/1.1\r\nHost: x\r\n\r\n"
+        connection.dataReceived(one % 1 + one % 2)
+        assert len(self.taken) == 1
+        self.taken[0][1].reply(200)
+        assert [request.target for request, _ in self.taken] == [b"/1", b"/2"]
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
+            b"Content-Length: 5\r\n\r\nbodyx",
+            b"GET http://other/ HTTP/1.1\r\nHost: x\r\n\r\n",
+            b"GET /\x00 HTTP/1.1\r\nHost: x\r\n\r\n",
+            b"\x16\x03\x01 nothing\r\n\r\n",
+        ],
+    )
+    def test_ambiguous_request_is_refused_and_closed(self, data: bytes) -> None:
+        factory, connection, transport = self.connect()
+        connection.dataReceived(data)
+        connection.dataReceived(b"GET /next HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert self.taken == []
+        assert transport.value().startswith(b"HTTP/1.1 4")
+        assert transport.disconnecting
+        assert factory.refused == 1
+
+    def test_body_over_the_bound_is_refused(self) -> None:
+        _, connection, transport = self.connect(CallerLimits(max_body_bytes=3))
+        connection.dataReceived(
+            b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody"
+        )
+        assert transport.value().startswith(b"HTTP/1.1 413")
+        assert self.taken == []
+
+    def test_leaving_caller_is_told_once(self) -> None:
+        _, connection, _ = self.connect()
+        connection.dataReceived(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        gone = []
+        responder = self.taken[0][1]
+        responder.on_gone = lambda: gone.append(1)
+        connection.connectionLost(Failure(ConnectionLost()))
+        responder.reply(200)
+        assert gone == [1]
+
+    def test_aborted_answer_does_not_look_whole(self) -> None:
+        _, connection, transport = self.connect()
+        connection.dataReceived(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        responder = self.taken[0][1]
+        responder.start(200, ())
+        responder.write(b"part")
+        responder.abort()
+        assert transport.aborted
+        assert b"0\r\n\r\n" not in transport.value()
+
+    def test_closing_server_says_so(self) -> None:
+        factory, connection, transport = self.connect()
+        factory.closing = True
+        connection.dataReceived(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.taken[0][1].reply(200)
+        assert b"connection: close" in transport.value().lower()
+        assert transport.disconnecting
+
+    def test_idle_and_slow_callers_are_closed_after_their_bounds(self) -> None:
+        limits = CallerLimits(header_timeout=3.0, idle_timeout=15.0)
+        factory, connection, transport = self.connect(limits)
+        self.now = 14.0
+        factory.close_idle()
+        assert not transport.disconnecting
+        connection.dataReceived(b"GET / HT")
+        self.now = 16.0
+        factory.close_idle()
+        assert not transport.disconnecting
+        self.now = 17.5
+        factory.close_idle()
+        assert transport.disconnecting
+
+
+class TestClientConnection:
+    """Answers of other requests and cut answers must not pass as whole ones."""
+
+    REQUEST = HttpRequest(b"GET", b"/x", ((b"host", b"a"), (b"x-id", b"r1")))
+
+    def connect(self):
+        self.released = []
+        connection = ClientConnection(self.released.append, lambda one: None)
+        transport = ClosableTransport()
+        connection.makeConnection(transport)
+        return connection, transport
+
+    def send(self, connection):
+        return connection.send(
+            self.REQUEST, lambda head: head.find_header(b"x-id") in (None, b"r1")
+        )
+
+    def test_answer_is_read_and_the_connection_kept(self) -> None:
+        connection, transport = self.connect()
+        answer = self.send(connection)
+        assert transport.value().startswith(b"GET /x HTTP/1.1\r\n")
+        body = collect(answer.read_body())
+        connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no")
+        assert body == []
+        connection.dataReceived(b"k")
+        assert body == [b"ok"]
+        assert self.released == [connection]
+
+    def test_answer_to_an_earlier_request_is_skipped(self) -> None:
+        connection, _ = self.connect()
+        answer = self.send(connection)
+        body = collect(answer.read_body())
+        connection.dataReceived(
+            b"HTTP/1.1 200 OK\r\nX-Id: r0\r\nContent-Length: 3\r\n\r\nold"
+            b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 3\r\n\r\nnew"
+        )
+        assert body == [b"new"]
+        assert answer.head.find_header(b"x-id") == b"r1"
+
+    def test_bytes_after_an_answer_close_the_connection(self) -> None:
+        connection, transport = self.connect()
+        answer = self.send(connection)
+        collect(answer.read_body())
+        connection.dataReceived(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n"
+        )
+        assert transport.aborted
+        assert self.released == []
+
+    def test_bytes_on_an_idle_connection_close_it(self) -> None:
+        connection, transport = self.connect()
+        connection.dataReceived(b"HTTP/1.1 200 OK\r\n\r\n")
+        assert transport.aborted
+
+    @pytest.mark.parametrize(
+        ("reason", "whole"), [(ConnectionDone(), True), (ConnectionLost(), False)]
+    )
+    def test_answer_without_a_length_ends_with_an_orderly_close(
+        self, reason, whole: bool
+    ) -> None:
+        connection, _ = self.connect()
+        body = collect(self.send(connection).read_body())
+        connection.dataReceived(b"HTTP/1.1 200 OK\r\n\r\npart")
+        connection.connectionLost(Failure(reason))
+        if whole:
+            assert body == [b"part"]
+        else:
+            assert body[0].check(AnswerLostError)
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+            b"",
+        ],
+    )
+    def test_cut_answer_is_lost(self, data: bytes) -> None:
+        connection, _ = self.connect()
+        body = collect(self.send(connection).read_body())
+        if data:
+            connection.dataReceived(data)
+        connection.connectionLost(Failure(ConnectionDone()))
+        assert body[0].check(AnswerLostError)
+
+    def test_bytes_that_are_no_answer_are_a_loss(self) -> None:
+        connection, transport = self.connect()
+        body = collect(self.send(connection).read_body())
+        connection.dataReceived(b"\x00\x01\x02\r\n\r\n")
+        assert body[0].check(AnswerLostError)
+        assert transport.aborted
+
+    def test_answer_before_the_body_was_read_keeps_the_request_whole(self) -> None:
+        connection, transport = self.connect()
+        request = HttpRequest(
+            b"POST", b"/x", ((b"host", b"a"), (b"content-length", b"4")), b"body"
+        )
+        answer = connection.send(request, lambda head: True)
+        collect(answer.read_body())
+        connection.dataReceived(b"HTTP/1.1 413 No\r\nContent-Length: 0\r\n\r\n")
+        assert transport.value().endswith(b"\r\n\r\nbody")
+
+    def test_stated_idle_time_is_not_used_up(self) -> None:
+        connection, _ = self.connect()
+        answer = self.send(connection)
+        collect(answer.read_body())
+        connection.dataReceived(
+            b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n"
+        )
+        assert connection.idle_seconds < 4.0
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,189 @@
+"""Tests of the placement of prompts and calls."""
+
+from __future__ import annotations
+
+import pytest
+
+from wisteriagw.fleet import BackendServer
+from wisteriagw.placement import (
+    CachedParts,
+    EngineRates,
+    Prompt,
+    ServerView,
+    WorkTable,
+    choose_plan,
+    choose_server,
+    learn_rate,
+)
+from wisteriagw.routes import EngineTraits
+
+RATES = EngineRates(50_000.0, 0.06)
+TRAITS = EngineTraits(64, 500_000, 18_432, 370_000.0, 5.0, 3.0)
+LONG = Prompt("m", 17_000, 100, (("a", 13_300), ("own", 3_700)))
+SHORT = Prompt("m", 300, 50, (("own", 300),))
+
+
+def view(name: str, stage: str = "decode", **fields) -> ServerView:
+    """Return an idle server in the data centre ``north``."""
+    values = {"data_centre": "north", "slots": 64, **fields}
+    return ServerView(name, values.pop("data_centre"), stage, **values)
+
+
+def plan(prompt, *views, excluded=()):
+    """Return the plan for a prompt."""
+    return choose_plan(prompt, views, RATES, TRAITS, "north", excluded)
+
+
+class TestChoosePlan:
+    """Long prompts must not be read where they wait for longest or again."""
+
+    def test_cold_long_prompt_is_read_at_the_prefill_stage(self) -> None:
+        chosen = plan(LONG, view("d"), view("p", "prefill"))
+        assert (chosen.server, chosen.prefill) == ("d", "p")
+
+    def test_short_prompt_is_read_where_it_is_answered(self) -> None:
+        chosen = plan(SHORT, view("d"), view("p", "prefill"))
+        assert (chosen.server, chosen.prefill) == ("d", "")
+
+    def test_kept_parts_are_fetched_instead_of_read_again(self) -> None:
+        keeper = view("k", "prefill", cached_tokens=13_300, waiting_tokens=200_000.0)
+        chosen = plan(LONG, view("d"), view("p", "prefill"), keeper)
+        assert (chosen.prefill, chosen.fetch_from) == ("p", "k")
+        assert chosen.uncached_tokens == 3_700
+
+    def test_keeper_itself_fetches_nothing(self) -> None:
+        keeper = view("k", "prefill", cached_tokens=13_300)
+        chosen = plan(LONG, view("d"), view("p", "prefill", waiting_tokens=1e6), keeper)
+        assert (chosen.prefill, chosen.fetch_from) == ("k", "")
+
+    def test_queue_of_a_reader_is_avoided(self) -> None:
+        chosen = plan(
+            LONG,
+            view("d"),
+            view("p", "prefill", waiting_tokens=90_000.0),
+            view("q", "prefill"),
+        )
+        assert chosen.prefill == "q"
+
+    def test_full_batch_is_avoided(self) -> None:
+        chosen = plan(SHORT, view("d", streams=70.0), view("e", streams=40.0))
+        assert chosen.server == "e"
+
+    def test_suspected_server_is_avoided(self) -> None:
+        chosen = plan(SHORT, view("d", suspicion=1.0), view("e"))
+        assert chosen.server == "e"
+
+    def test_server_that_failed_the_request_is_not_chosen(self) -> None:
+        assert plan(SHORT, view("d"), excluded=("d",)) is None
+
+    def test_readers_alone_cannot_answer(self) -> None:
+        assert plan(SHORT, view("p", "prefill")) is None
+
+
+class TestChooseServer:
+    """Plain calls must go where slots are free."""
+
+    def test_least_load_for_its_slots(self) -> None:
+        big = ServerView("big", "north", "", 12, streams=4.0)
+        small = ServerView("small", "north", "", 4, streams=2.0)
+        assert choose_server((small, big), "north").server == "big"
+
+    def test_own_data_centre_on_a_tie(self) -> None:
+        near = ServerView("near", "north", "", 4)
+        far = ServerView("far", "south", "", 4)
+        assert choose_server((far, near), "north").server == "near"
+
+    def test_none_is_left(self) -> None:
+        only = ServerView("only", "north", "", 4)
+        assert choose_server((only,), "north", ("only",)) is None
+
+
+class TestCachedParts:
+    """A part counts only behind parts that are kept too, and while it fits."""
+
+    def test_later_part_alone_is_worth_nothing(self) -> None:
+        parts = CachedParts()
+        parts.note_use("s", (("b", 10),), 1_000)
+        assert parts.count_tokens("s", (("a", 5), ("b", 10))) == 0
+        parts.note_use("s", (("a", 5),), 1_000)
+        assert parts.count_tokens("s", (("a", 5), ("b", 10), ("c", 1))) == 15
+
+    def test_least_recently_used_part_yields(self) -> None:
+        parts = CachedParts()
+        parts.note_use("s", (("a", 400),), 1_000)
+        parts.note_use("s", (("b", 400),), 1_000)
+        parts.note_use("s", (("a", 400),), 1_000)
+        parts.note_use("s", (("c", 400),), 1_000)
+        assert parts.count_tokens("s", (("a", 400),)) == 400
+        assert parts.count_tokens("s", (("b", 400),)) == 0
+
+    def test_only_new_parts_are_told(self) -> None:
+        parts = CachedParts()
+        assert parts.note_use("s", (("a", 4),), 100) == [("a", 4)]
+        assert parts.note_use("s", (("a", 4),), 100) == []
+
+    def test_restarted_server_keeps_nothing(self) -> None:
+        parts = CachedParts()
+        parts.note_use("s", (("a", 4),), 100)
+        parts.forget("s")
+        assert parts.count_tokens("s", (("a", 4),)) == 0
+
+
+class TestEngineRates:
+    """One stalled engine must not make all estimates useless."""
+
+    def test_rate_approaches_what_is_measured(self) -> None:
+        rates = EngineRates(30_000.0, 0.06)
+        for _ in range(200):
+            rates = learn_rate(rates, 10_000, 0.06 + 10_000 / 54_000)
+        assert rates.tokens_per_second == pytest.approx(54_000, rel=0.02)
+
+    def test_stall_counts_once(self) -> None:
+        rates = learn_rate(EngineRates(50_000.0, 0.06), 10_000, 60.0)
+        assert rates.tokens_per_second > 40_000
+
+    def test_short_prompts_set_the_first_step(self) -> None:
+        rates = learn_rate(EngineRates(50_000.0, 0.06), 100, 0.08)
+        assert 0.06 < rates.first_seconds < 0.08
+        assert rates.tokens_per_second == 50_000.0
+
+
+class TestWorkTable:
+    """Work of peers must count while it is fresh, and failures must be forgiven."""
+
+    SERVER = BackendServer("s", "lm", ("10.0.0.1", 80), "north", 64, stage="decode")
+
+    def get_view(self, table: WorkTable, now: float = 0.0) -> ServerView:
+        return table.list_views((self.SERVER,), None, now)[0]
+
+    def test_own_and_peer_work_add_up(self) -> None:
+        table = WorkTable()
+        table.add("s", 500.0, 1)
+        table.note_peer("vm-2", (("s", 1_000.0, 3.0),), 0.0)
+        found = self.get_view(table)
+        assert (found.waiting_tokens, found.streams) == (1_500.0, 4.0)
+
+    def test_old_work_of_a_peer_is_not_counted(self) -> None:
+        table = WorkTable()
+        table.note_peer("vm-2", (("s", 1_000.0, 3.0),), 0.0)
+        assert self.get_view(table, 5.0).streams == 0.0
+
+    def test_finished_work_leaves_nothing(self) -> None:
+        table = WorkTable()
+        table.add("s", 500.0, 1)
+        table.add("s", -500.0, -1)
+        assert table.list_own() == []
+
+    def test_failure_fades_and_success_halves_it(self) -> None:
+        table = WorkTable()
+        table.note_failure("s", 0.0)
+        first = table.get_suspicion("s", 0.0)
+        assert 0 < table.get_suspicion("s", 3.0) < first / 2
+        table.note_success("s", 0.0)
+        assert table.get_suspicion("s", 0.0) == pytest.approx(first / 2)
+
+    def test_server_with_an_order_is_away_until_its_end(self) -> None:
+        table = WorkTable()
+        table.note_away("s", 5.0)
+        assert table.is_away("s", 4.9)
+        assert not table.is_away("s", 5.0)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,485 @@
+"""Tests of the adapter to the platform."""
+
+from __future__ import annotations
+
+import base64
+import json
+import struct
+
+import pytest
+from twisted.internet.defer import Deferred
+
+from wisteriagw.connections import AnswerHead, HttpRequest
+from wisteriagw.findings import Finding
+from wisteriagw.fleet import BackendServer
+from wisteriagw.outcomes import Done, FailedNotRun, MayHaveRun
+from wisteriagw.platform import (
+    AppendConflictError,
+    DutyClient,
+    ForwardingTerms,
+    NodeSettings,
+    StoreClient,
+    StoreUnavailableError,
+    decode_caller_request,
+    decode_configuration,
+    decode_entry,
+    decode_handle,
+    encode_forwarded,
+    encode_refusal,
+    is_genuine,
+    parse_settings,
+    says_not_run,
+)
+
+SETTINGS = """
+node_name = "vm-1"
+ip = "10.1.0.7"
+zone = "north"
+region = "land"
+port_range = [7660, 7675]
+bootstrap = true
+heartbeat_ms = 1200
+[zones]
+north = "land"
+south = "land"
+[listen]
+front = "10.1.0.7:8405"
+ready = "10.1.0.7:8406"
+directory = "10.1.0.7:8404"
+[limits]
+memory_mb = 300
+[bounds]
+revoke_ms = 5000
+budget_ratio = 0.2
+budget_slack = 54
+budget_window_s = 10
+lease_ms = 3000
+window_s = 5
+usage_late_s = 10
+grace_s = 8
+drain_ms = 2000
+contact_ms = 3000
+ttl_max_s = 5
+[platform]
+address = "10.200.1.7:8408"
+[cloud_api]
+address = "10.200.0.60:8408"
+"""
+ENTRY = {
+    "service": "lm",
+    "address": "10.128.0.9:8080",
+    "zone": "north",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "stage": "decode",
+    "seq": 4,
+    "born": 1788053665000,
+}
+SERVER = BackendServer("i-1", "lm", ("10.128.0.9", 8080), "north", 64)
+
+
+def run(coroutine):
+    """Return the result of a coroutine that does not wait, or raise its error."""
+    results = []
+    Deferred.fromCoroutine(coroutine).addBoth(results.append)
+    if hasattr(results[0], "raiseException"):
+        results[0].raiseException()
+    return results[0]
+
+
+class ScriptedClient:
+    """Gives one outcome and keeps what was sent."""
+
+    def __init__(self, *outcomes) -> None:
+        self.sent = []
+        self._outcomes = list(outcomes)
+
+    async def send(self, *arguments, **named):
+        self.sent.append((arguments, named))
+        return self._outcomes.pop(0)
+
+
+class TestSettingsFile:
+    """Settings that are wrong must all be reported, not the first only."""
+
+    def test_whole_file_is_read_in_seconds(self) -> None:
+        settings = parse_settings(SETTINGS)
+        assert isinstance(settings, NodeSettings)
+        assert settings.withdrawal_seconds == 5.0
+        assert settings.heartbeat == pytest.approx(1.2)
+        assert settings.front == ("10.1.0.7", 8405)
+        assert settings.peers == ("10.1.0.7", 7660)
+        assert settings.data_centres == ("north", "south")
+
+    def test_unknown_fields_are_ignored(self) -> None:
+        text = "new_field = 3\n" + SETTINGS
+        assert isinstance(parse_settings(text), NodeSettings)
+
+    def test_all_faults_are_reported_with_their_place(self) -> None:
+        text = SETTINGS.replace("revoke_ms = 5000", 'revoke_ms = "soon"')
+        text = text.replace('address = "10.200.1.7:8408"', 'address = "nowhere"')
+        findings = parse_settings(text)
+        assert [finding.place for finding in findings] == [
+            "bounds.revoke_ms",
+            "platform.address",
+        ]
+
+    def test_unreadable_file_is_a_finding(self) -> None:
+        assert isinstance(parse_settings("= 3")[0], Finding)
+
+
+class TestConfiguration:
+    """A configuration that cannot be read must not replace the one in force."""
+
+    def build(self) -> dict:
+        return {
+            "version": 7,
+            "routes": [
+                {
+                    "name": "r-1",
+                    "host": "a.example",
+                    "path_prefix": "/long/",
+                    "kind": "stream",
+                    "timeout_ms": 8000,
+                    "slo_ms": 600,
+                    "priority": 1,
+                    "split": [
+                        {"service": "lm", "weight": 90},
+                        {"service": "other", "weight": 10},
+                    ],
+                    "max_attempts": 2,
+                    "public": False,
+                    "can_resume": True,
+                },
+                {
+                    "name": "r-2",
+                    "host": "a.example",
+                    "path_prefix": "/order/",
+                    "kind": "unsafe",
+                    "timeout_ms": 1000,
+                    "service": "desk",
+                },
+            ],
+            "services": [
+                {
+                    "name": "lm",
+                    "max_conns": 360,
+                    "engine": {"slots": 64, "kv_capacity": 504494},
+                    "autoscale": {
+                        "min": 1,
+                        "max": 3,
+                        "startup_s": 4.0,
+                        "spot_price": 0.22,
+                        "zone_prices": {"north": 0.85},
+                    },
+                }
+            ],
+            "tenants": [{"name": "t-1", "api_keys": ["k1", "k2"], "priority": 1}],
+        }
+
+    def test_what_may_be_repeated_follows_from_the_kind(self) -> None:
+        table = decode_configuration(json.dumps(self.build()).encode())
+        stream, unsafe = table.routes["a.example"]
+        assert (unsafe.path_prefix, stream.path_prefix) == ("/order/", "/long/") or (
+            stream.path_prefix,
+            unsafe.path_prefix,
+        ) == ("/order/", "/long/")
+        routes = {route.name: route for route in table.routes["a.example"]}
+        assert routes["r-1"].repeatable
+        assert routes["r-1"].targets == (("lm", 90.0), ("other", 10.0))
+        assert not routes["r-2"].repeatable
+        assert table.customers["k2"].name == "t-1"
+        assert table.services["lm"].scaling.max_servers == 3
+
+    def test_stream_that_cannot_be_resumed_is_not_repeatable(self) -> None:
+        fields = self.build()
+        fields["routes"][0]["can_resume"] = False
+        table = decode_configuration(json.dumps(fields).encode())
+        routes = {route.name: route for route in table.routes["a.example"]}
+        assert not routes["r-1"].repeatable
+
+    @pytest.mark.parametrize(
+        "data", [b"", b"\xff", b"[]", b"null", b'{"version": 8}', b'{"version": "x"}']
+    )
+    def test_unreadable_configuration_is_a_finding(self, data: bytes) -> None:
+        assert isinstance(decode_configuration(data), Finding)
+
+
+class TestRegister:
+    """Entries of other writers must name no backend server."""
+
+    def test_entry_is_read(self) -> None:
+        server = decode_entry("i-1", json.dumps({**ENTRY, "spot": True}).encode())
+        assert server.address == ("10.128.0.9", 8080)
+        assert server.reclaimable
+        assert not server.leaving
+
+    def test_draining_server_is_leaving(self) -> None:
+        server = decode_entry(
+            "i-1", json.dumps({**ENTRY, "state": "draining"}).encode()
+        )
+        assert server.leaving
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"service": None},
+            {"service": 3},
+            {"address": "10.0.0.1"},
+            {"address": ["10.0.0.1", 80]},
+            {"state": "sleeping"},
+            {"stage": "other"},
+            {"slots": "64"},
+            {"slots": 0},
+            {"born": 1.5},
+            {"zone": ""},
+        ],
+    )
+    def test_foreign_entry_is_a_finding(self, change: dict) -> None:
+        data = json.dumps({**ENTRY, **change}).encode()
+        assert isinstance(decode_entry("i-1", data), Finding)
+
+    @pytest.mark.parametrize("data", [b"\x00\xff", b"7", b"[]", b'"x"'])
+    def test_unreadable_entry_is_a_finding(self, data: bytes) -> None:
+        assert isinstance(decode_entry("i-1", data), Finding)
+
+
+class TestForwarding:
+    """A backend server must not see the key or what only the system may set."""
+
+    def build(self) -> HttpRequest:
+        return HttpRequest(
+            b"POST",
+            b"/long/x?y=1",
+            (
+                (b"host", b"a.example"),
+                (b"x-wisteriagw-request-id", b"r1"),
+                (b"authorization", b"Token k1"),
+                (b"x-wisteriagw-tenant", b"forged"),
+                (b"x-wisteriagw-kv-source", b"10.0.0.1:80/forged"),
+                (b"x-wisteriagw-kv-hold", b"forged"),
+                (b"x-wisteriagw-pin-ms", b"9"),
+                (b"x-wisteriagw-stage", b"prefill"),
+                (b"x-wisteriagw-request-priority", b"0"),
+                (b"kv-fetch", b"10.0.0.1:80"),
+                (b"connection", b"keep-alive, x-hop"),
+                (b"x-hop", b"1"),
+                (b"transfer-encoding", b"chunked"),
+                (b"x-other", b"kept"),
+                (b"last-event-id", b"4"),
+            ),
+            b"body",
+        )
+
+    def test_only_own_values_are_sent(self) -> None:
+        terms = ForwardingTerms(SERVER, 1.5, "t-1", 2)
+        headers = dict(encode_forwarded(self.build(), terms).headers)
+        assert headers == {
+            b"host": b"a.example",
+            b"x-wisteriagw-request-id": b"r1",
+            b"x-other": b"kept",
+            b"last-event-id": b"4",
+            b"content-length": b"4",
+            b"x-wisteriagw-expect-instance": b"i-1",
+            b"x-wisteriagw-deadline-ms": b"1500",
+            b"x-wisteriagw-tenant": b"t-1",
+            b"x-wisteriagw-request-priority": b"2",
+        }
+
+    def test_method_target_and_body_are_unchanged(self) -> None:
+        request = encode_forwarded(self.build(), ForwardingTerms(SERVER))
+        assert request.method == b"POST"
+        assert request.target == b"/long/x?y=1"
+        assert request.body == b"body"
+
+    def test_resumed_stream_names_the_last_event_once(self) -> None:
+        terms = ForwardingTerms(SERVER, last_event=9)
+        headers = encode_forwarded(self.build(), terms).headers
+        assert [v for n, v in headers if n == b"last-event-id"] == [b"9"]
+
+    def test_source_and_fetch_are_addresses(self) -> None:
+        source = (("10.0.0.2", 81), "h1")
+        terms = ForwardingTerms(SERVER, source=source, fetch_from=("10.0.0.3", 82))
+        headers = dict(encode_forwarded(self.build(), terms).headers)
+        assert headers[b"x-wisteriagw-kv-source"] == b"10.0.0.2:81/h1"
+        assert headers[b"kv-fetch"] == b"10.0.0.3:82"
+
+
+class TestCallerDecoding:
+    """A request without an id or with values of another type has no meaning."""
+
+    def build(self, *headers) -> HttpRequest:
+        base = ((b"host", b"A.example"), (b"x-wisteriagw-request-id", b"r1"))
+        return HttpRequest(b"POST", b"/p/x?q=1", (*base, *headers))
+
+    def test_prompt_is_read(self) -> None:
+        caller = decode_caller_request(
+            self.build(
+                (b"x-wisteriagw-model", b"m"),
+                (b"x-wisteriagw-token-count", b"1460,80"),
+                (b"x-wisteriagw-prompt-prefix", b"5c:800,91:410, e4:250"),
+                (b"x-wisteriagw-deadline-ms", b"8000"),
+                (b"authorization", b"Token k1"),
+            )
+        )
+        assert caller.host == "a.example"
+        assert caller.path == "/p/x"
+        assert caller.prompt.tokens == 1460
+        assert caller.prompt.parts == (("5c", 800), ("91", 410), ("e4", 250))
+        assert caller.patience == 8.0
+        assert caller.key == "k1"
+
+    def test_key_of_another_scheme_is_no_key(self) -> None:
+        caller = decode_caller_request(self.build((b"authorization", b"Basic k1")))
+        assert caller.key is None
+
+    def test_request_without_an_id_is_refused(self) -> None:
+        request = HttpRequest(b"GET", b"/", ((b"host", b"a.example"),))
+        assert decode_caller_request(request) is None
+
+    @pytest.mark.parametrize(
+        "header",
+        [
+            (b"x-wisteriagw-deadline-ms", b"soon"),
+            (b"last-event-id", b"x"),
+        ],
+    )
+    def test_bad_value_is_refused(self, header) -> None:
+        assert decode_caller_request(self.build(header)) is None
+
+
+class TestAnswers:
+    """Answers without proof, or of another request, must not pass as successes."""
+
+    ID = (b"x-wisteriagw-request-id", b"r1")
+    OTHER_ID = (b"x-wisteriagw-request-id", b"r2")
+    PROOF = (b"x-wisteriagw-server-stamp", b"s")
+    ENCODED = (b"content-encoding", b"gzip")
+
+    @pytest.mark.parametrize(
+        ("headers", "genuine"),
+        [
+            ((ID, PROOF), True),
+            ((OTHER_ID, PROOF), False),
+            ((ID,), False),
+            ((PROOF,), False),
+            ((ID, PROOF, ENCODED), False),
+        ],
+    )
+    def test_proof_and_id_are_needed(self, headers, genuine: bool) -> None:
+        assert is_genuine(AnswerHead(200, headers), b"r1") is genuine
+
+    def test_only_the_stated_answers_did_not_run(self) -> None:
+        stated = ((b"x-wisteriagw-not-executed", b"1"),)
+        assert says_not_run(AnswerHead(503, stated))
+        assert says_not_run(AnswerHead(421, ()))
+        assert not says_not_run(AnswerHead(503, ()))
+        assert not says_not_run(AnswerHead(500, ()))
+
+    @pytest.mark.parametrize("body", [b"", b"[]", b"{}", b'{"kv_handle": 3}', b"\xff"])
+    def test_body_without_a_handle(self, body: bytes) -> None:
+        assert decode_handle(body) is None
+
+    def test_refusal_names_when_to_come_back(self) -> None:
+        headers, body = encode_refusal("overloaded", "full", "r1", 0.25)
+        assert dict(headers)[b"retry-after"] == b"0.25"
+        assert json.loads(body)["error"]["code"] == "overloaded"
+
+
+class TestStoreClient:
+    """What the store did, did not or may have done must not be confused."""
+
+    ADDRESS = ("10.0.0.1", 80)
+
+    def test_keyed_records_are_framed(self) -> None:
+        client = ScriptedClient(Done(200, b'{"offset": 5, "end_offset": 6}'))
+        store = StoreClient(client, self.ADDRESS)
+        assert run(store.append("keyed.x", [("ab", b"v")], 5)) == 5
+        (_, method, target, body), _ = client.sent[0]
+        assert (method, target) == ("POST", "/log-append?topic=keyed.x&part=0&at=5")
+        assert body == struct.pack(">I", 4) + b"\x02abv"
+
+    def test_conflict_tells_the_end(self) -> None:
+        store = StoreClient(
+            ScriptedClient(Done(412, b'{"end_offset": 9}')), self.ADDRESS
+        )
+        with pytest.raises(AppendConflictError) as caught:
+            run(store.append("x", [("", b"v")], 5))
+        assert caught.value.end_offset == 9
+
+    @pytest.mark.parametrize(
+        ("outcome", "may_have_run"),
+        [
+            (FailedNotRun("refused"), False),
+            (MayHaveRun("lost"), True),
+            (Done(503, b""), False),
+            (Done(429, b""), False),
+            (Done(500, b""), True),
+            (Done(200, b"nothing"), True),
+        ],
+    )
+    def test_failed_append_says_what_it_may_have_done(
+        self, outcome, may_have_run: bool
+    ) -> None:
+        store = StoreClient(ScriptedClient(outcome), self.ADDRESS)
+        with pytest.raises(StoreUnavailableError) as caught:
+            run(store.append("x", [("", b"v")]))
+        assert caught.value.may_have_run is may_have_run
+
+    def test_read_gives_keys_and_removals(self) -> None:
+        records = [b"\x01ka", b"\x01k", b""]
+        body = struct.pack(">QQ", 13, 0)
+        body += b"".join(struct.pack(">I", len(r)) + r for r in records)
+        store = StoreClient(ScriptedClient(Done(200, body)), self.ADDRESS)
+        page = run(store.read("keyed.x", 10))
+        assert [(r.offset, r.key, r.value) for r in page.records] == [
+            (10, "k", b"a"),
+            (11, "k", b""),
+            (12, "", b""),
+        ]
+        assert page.next_offset == 13
+
+    def test_removed_history_is_not_complete(self) -> None:
+        store = StoreClient(
+            ScriptedClient(Done(410, b'{"first_offset": 40}')), self.ADDRESS
+        )
+        page = run(store.read("x", 10))
+        assert (page.complete, page.next_offset) == (False, 40)
+
+    def test_newest_reads_all_pages_and_goes_on_from_the_first(self) -> None:
+        def build(key: str, more: bool, end: int) -> Done:
+            item = {"key": key, "value": base64.b64encode(b"v").decode(), "offset": 1}
+            fields = {"items": [item], "has_more": more, "end_offset": end}
+            return Done(200, json.dumps(fields).encode())
+
+        client = ScriptedClient(build("a", True, 6), build("b", False, 9))
+        page = run(StoreClient(client, self.ADDRESS).read_newest("keyed.x"))
+        assert [record.key for record in page.records] == ["a", "b"]
+        # A change between the pages is read again from the end of the first.
+        assert page.next_offset == 6
+        assert "after=a" in client.sent[1][0][2]
+
+
+class TestDutyClient:
+    """Calls of the authority must carry the holder and its fencing number."""
+
+    def test_usage_names_holder_and_number(self) -> None:
+        client = ScriptedClient(Done(200, b"{}"))
+        duties = DutyClient(client, ("10.0.0.1", 80), "vm-1")
+        run(duties.report_usage(7, {"t-1": 3}, 12))
+        (_, method, target, body, _, headers), _ = client.sent[0]
+        assert (method, target) == ("POST", "/usage")
+        assert json.loads(body) == {"window_id": 7, "counts": {"t-1": 3}}
+        assert (b"x-wisteriagw-duty-holder", b"vm-1") in headers
+        assert (b"x-wisteriagw-fence-token", b"12") in headers
+
+    def test_stage_order_names_the_engine(self) -> None:
+        client = ScriptedClient(Done(202, b""))
+        duties = DutyClient(client, ("10.0.0.1", 80), "vm-1")
+        run(duties.order_stage(("10.0.0.9", 80), "i-1", "prefill", 12))
+        (address, _, target, body, _, headers), _ = client.sent[0]
+        assert (address, target) == (("10.0.0.9", 80), "/order")
+        assert json.loads(body)["fence_token"] == 12
+        assert (b"x-wisteriagw-expect-instance", b"i-1") in headers
--- a/wisteriagw/standins/__init__.py
+++ b/wisteriagw/standins/__init__.py
@@ -11,9 +11,11 @@
     run_usage,
     run_vm_list,
 )
+from wisteriagw.standins._topic_store import TopicStore
 
 __all__ = [
     "PROGRAM_OPTIONS",
+    "TopicStore",
     "run_backends",
     "run_engine",
     "run_log",
--- /dev/null
+++ b/wisteriagw/standins/_topic_store.py
@@ -0,0 +1,98 @@
+"""Topics of the platform's store, kept in memory."""
+
+from __future__ import annotations
+
+from wisteriagw.platform import (
+    AppendConflictError,
+    StorePage,
+    StoreRecord,
+    StoreUnavailableError,
+)
+
+
+class TopicStore:
+    """Speaks the store client's calls without a network.
+
+    Attributes
+    ----------
+    down : bool
+        Whether calls fail without an effect.
+    lose_answers : int
+        Number of appends that take effect and fail all the same.
+    late_appends : list
+        Appends that were held back by ``hold_appends``; ``apply_late`` applies them.
+    """
+
+    def __init__(self) -> None:
+        self.down = False
+        self.lose_answers = 0
+        self.hold_appends = 0
+        self.calls = 0
+        self.late_appends: list[tuple[str, list[tuple[str, bytes]], int | None]] = []
+        self._records: dict[str, list[StoreRecord]] = {}
+        self._first: dict[str, int] = {}
+
+    def put(self, topic: str, key: str, value: bytes) -> int:
+        """Append one record as the operator or a backend server does."""
+        records = self._records.setdefault(topic, [])
+        records.append(StoreRecord(len(records), key, value))
+        return len(records) - 1
+
+    def forget(self, topic: str) -> None:
+        """Drop the history of a topic; the newest record of each key stays readable."""
+        self._first[topic] = len(self._records.get(topic, ()))
+
+    def apply_late(self) -> None:
+        """Apply the appends that were held back, if their condition still holds."""
+        held, self.late_appends = self.late_appends, []
+        for topic, records, expected_end in held:
+            end = len(self._records.get(topic, ()))
+            if expected_end is None or expected_end == end:
+                for key, value in records:
+                    self.put(topic, key, value)
+
+    async def append(
+        self,
+        topic: str,
+        records: list[tuple[str, bytes]],
+        expected_end: int | None = None,
+    ) -> int:
+        """Append records, or fail as the faults say."""
+        self._check()
+        if self.hold_appends:
+            self.hold_appends -= 1
+            self.late_appends.append((topic, list(records), expected_end))
+            raise StoreUnavailableError("no answer", may_have_run=True)
+        end = len(self._records.get(topic, ()))
+        if expected_end is not None and expected_end != end:
+            raise AppendConflictError(end)
+        for key, value in records:
+            self.put(topic, key, value)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise StoreUnavailableError("no answer", may_have_run=True)
+        return end
+
+    async def read(self, topic: str, start: int, wait: float = 0.0) -> StorePage:
+        """Read records from an offset on; never waits."""
+        self._check()
+        first = self._first.get(topic, 0)
+        if start < first:
+            return StorePage((), first, complete=False)
+        records = tuple(self._records.get(topic, ())[start:])
+        return StorePage(records, start + len(records))
+
+    async def read_newest(self, topic: str) -> StorePage:
+        """Read the newest record of each key."""
+        self._check()
+        newest: dict[str, StoreRecord] = {}
+        records = self._records.get(topic, [])
+        for record in records:
+            newest[record.key] = record
+        kept = tuple(record for record in newest.values() if record.value)
+        return StorePage(kept, len(records))
+
+    def _check(self) -> None:
+        self.calls += 1
+        if self.down:
+            raise StoreUnavailableError("the store is down", may_have_run=False)
