Test requests through the gateway against scripted backend servers

Guards against: repeated unsafe calls, refusals of calls that ran, keys served on a stale configuration, cut streams that look whole, broken-off events in resumed streams, and KV cache that is never freed.

--- /dev/null
+++ b/tests/support/_gateway_world.py
@@ -0,0 +1,235 @@
+"""Context of a gateway with a scripted pool, in virtual time."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+from twisted.internet.task import Clock
+
+from wisteriagw.connections import Answer, AnswerHead, ConnectFailedError, HttpRequest
+from wisteriagw.fleet import BackendServer
+from wisteriagw.gateway._configuration_feed import ConfigurationFeed
+from wisteriagw.gateway._context import GatewayContext
+from wisteriagw.gateway._decision_log import DecisionLog
+from wisteriagw.gateway._fleet_feed import FleetFeed
+from wisteriagw.gateway._metrics import GatewayMetrics
+from wisteriagw.gateway._peer_news import PeerNews
+from wisteriagw.gateway._rates_book import RatesBook
+from wisteriagw.gateway._request_handler import RequestHandler
+from wisteriagw.gateway._retry_budgets import RetryBudgets
+from wisteriagw.gateway._usage_counter import UsageCounter
+from wisteriagw.placement import WorkTable
+from wisteriagw.routes import (
+    Customer,
+    EngineTraits,
+    Route,
+    RoutingTable,
+    Service,
+    index_routes,
+)
+from wisteriagw.standins import TopicStore
+
+SETTINGS = SimpleNamespace(
+    vm="vm-1",
+    data_centre="north",
+    retry_ratio=0.2,
+    retry_allowance=50.0,
+    retry_window=10.0,
+    usage_window=5.0,
+    usage_due=10.0,
+)
+WINDOW_SECONDS = 5.0
+
+
+class Sent:
+    """One request that reached a backend server, and the answer under way."""
+
+    def __init__(self, address, request: HttpRequest, accepts) -> None:
+        self.address = address
+        self.request = request
+        self.headers = dict(request.headers)
+        self.aborted = False
+        self.answer = Answer(accepts, self._abort)
+
+    def start(self, status: int = 200, **headers: str) -> None:
+        """Give the head of a genuine answer."""
+        found = {
+            b"x-wisteriagw-request-id": self.headers[b"x-wisteriagw-request-id"],
+            b"x-wisteriagw-server-stamp": b"stamp",
+        }
+        for name, value in headers.items():
+            found[name.replace("_", "-").encode()] = value.encode()
+        self.answer.take_head(AnswerHead(status, tuple(found.items())))
+
+    def reply(self, status: int, body: bytes = b"", **headers: str) -> None:
+        """Give a whole answer."""
+        self.start(status, **headers)
+        if body:
+            self.answer.take_part(body)
+        self.answer.take_end()
+
+    def _abort(self) -> None:
+        self.aborted = True
+
+
+class ScriptedPool:
+    """Keeps what is sent; connections to some addresses fail."""
+
+    def __init__(self) -> None:
+        self.sent: list[Sent] = []
+        self.unreachable: set = set()
+
+    async def send(self, address, request, accepts, connect_timeout=0.5):
+        if address in self.unreachable:
+            raise ConnectFailedError("refused")
+        sent = Sent(address, request, accepts)
+        self.sent.append(sent)
+        return sent.answer
+
+
+class RecordingResponder:
+    """Keeps the answer of a caller's request."""
+
+    def __init__(self) -> None:
+        self.on_gone = lambda: None
+        self.started = self.ended = self.aborted = False
+        self.status = 0
+        self.headers: dict = {}
+        self.body = b""
+
+    def start(self, status, headers) -> None:
+        self.started = True
+        self.status = status
+        self.headers = dict(headers)
+
+    def write(self, data) -> None:
+        self.body += data
+
+    def end(self) -> None:
+        self.ended = True
+
+    def reply(self, status, headers=(), body=b"") -> None:
+        assert not self.started, "answered twice"
+        self.start(status, headers)
+        self.write(body)
+        self.end()
+
+    def abort(self) -> None:
+        self.ended = self.aborted = True
+
+
+def build_route(name: str, service: str, **changes) -> Route:
+    """Return a route of the host ``a.example`` with the prefix of its name."""
+    values = {
+        "name": name,
+        "host": "a.example",
+        "path_prefix": f"/{name}/",
+        "streaming": False,
+        "repeatable": False,
+        "resumable": False,
+        "timeout": 8.0,
+        "target_seconds": 0.2,
+        "priority": 1,
+        "max_attempts": 1,
+        "open": False,
+        "targets": ((service, 1.0),),
+        **changes,
+    }
+    return Route(**values)
+
+
+ROUTES = (
+    build_route("unsafe", "desk"),
+    build_route("safe", "desk", repeatable=True, max_attempts=2),
+    build_route("ask", "lm", streaming=True),
+    build_route(
+        "long",
+        "lm",
+        streaming=True,
+        repeatable=True,
+        resumable=True,
+        max_attempts=2,
+        target_seconds=0.6,
+    ),
+)
+TABLE = RoutingTable(
+    version=3,
+    routes=index_routes(ROUTES),
+    services={
+        "desk": Service("desk", 100),
+        "lm": Service("lm", 100, EngineTraits(64, 500_000, 18_432, 370_000.0, 5, 3)),
+    },
+    customers={"k1": Customer("t-1", 2)},
+)
+
+
+class GatewayWorld:
+    """A gateway whose store, peers and backend servers are scripted."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        self.clock.advance(1_000.0)
+        self.store = TopicStore()
+        self.pool = ScriptedPool()
+        self.work = WorkTable()
+        self.configuration = ConfigurationFeed(
+            self.clock, self.store, 5.0, lambda table: None
+        )
+        self.configuration.table = TABLE
+        self.confirm()
+        self.fleet = FleetFeed(self.clock, self.store, lambda server: None)
+        for number in (1, 2):
+            self.add_server(f"desk-{number}", "desk", number)
+            self.add_server(f"lm-{number}", "lm", 10 + number, stage="decode")
+        self.usage = UsageCounter(WINDOW_SECONDS, self.clock.seconds)
+        self.news = PeerNews("process-1", self.usage)
+        self.context = GatewayContext(
+            self.clock,
+            SETTINGS,
+            self.configuration,
+            self.fleet,
+            self.pool,
+            self.work,
+            RatesBook(),
+            RetryBudgets(SETTINGS),
+            self.usage,
+            self.news,
+            DecisionLog(self.clock.seconds),
+            GatewayMetrics(),
+            lambda: 0.5,
+        )
+        self.handler = RequestHandler(self.context)
+
+    def confirm(self) -> None:
+        """Take that the configuration was just read."""
+        self.configuration.follower.read_at = self.clock.seconds()
+
+    def add_server(self, name: str, service: str, number: int, **fields) -> None:
+        """Register a backend server."""
+        self.fleet.fleet.servers[name] = BackendServer(
+            name, service, (f"10.0.0.{number}", 80), "north", 8, **fields
+        )
+
+    def request(self, route: str, *headers, key: str = "k1", prompt: str = ""):
+        """Send a caller's request and return its responder."""
+        found = [
+            (b"host", b"a.example"),
+            (b"x-wisteriagw-request-id", b"r1"),
+            (b"x-wisteriagw-deadline-ms", b"4000"),
+            (b"authorization", f"Token {key}".encode()),
+            *headers,
+        ]
+        if prompt:
+            found.append((b"x-wisteriagw-model", b"m"))
+            found.append((b"x-wisteriagw-token-count", prompt.encode()))
+            found.append((b"x-wisteriagw-prompt-prefix", b"aa:13300,bb:3700"))
+        responder = RecordingResponder()
+        self.handler.handle(
+            HttpRequest(b"POST", f"/{route}/x".encode(), tuple(found), b"body"),
+            responder,
+        )
+        return responder
+
+    def count_usage(self) -> int:
+        """Return the requests that were counted for the customer."""
+        return sum(count for _, _, count in self.usage.list_rows(3))
