--- /dev/null
+++ b/tests/test_capacity_orders.py
@@ -0,0 +1,215 @@
+"""Tests of the orders for servers and stages."""
+
+from __future__ import annotations
+
+import pytest
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from tests.support._gateway_world import TABLE
+from wisteriagw.fleet import BackendServer, Fleet
+from wisteriagw.gateway._scaler import Scaler
+from wisteriagw.gateway._stage_keeper import LATE_ORDER_SECONDS, StageKeeper
+from wisteriagw.outcomes import Done, MayHaveRun
+from wisteriagw.placement import WorkTable
+from wisteriagw.roles import StagedEngine, plan_stages
+from wisteriagw.routes import ScalingTerms
+from wisteriagw.spending import CentreOrder, CentreStock, plan_stock
+
+
+class TestPlanStock:
+    """The stock must be cheap, and never above or below the platform's bounds."""
+
+    def test_reclaimable_servers_replace_dependable_ones(self) -> None:
+        orders = plan_stock([CentreStock("north", 1.0, 2, 0)], 1, 3, 0.2)
+        assert orders == [
+            CentreOrder("north", False, 0),
+            CentreOrder("north", True, 1),
+        ]
+
+    def test_full_stock_needs_no_order(self) -> None:
+        assert plan_stock([CentreStock("north", 1.0, 0, 3)], 1, 3, 0.2) == []
+
+    def test_lost_reclaimable_servers_are_ordered_again(self) -> None:
+        orders = plan_stock([CentreStock("north", 1.0, 0, 0)], 1, 3, 0.2)
+        assert orders == [CentreOrder("north", True, 3)]
+
+    def test_without_reclaimable_servers_dependable_ones_are_held(self) -> None:
+        orders = plan_stock([CentreStock("north", 1.0, 1, 0)], 1, 3, 0.0)
+        assert orders == [CentreOrder("north", False, 3)]
+
+    @pytest.mark.parametrize("dependable", range(5))
+    def test_both_kinds_together_stay_within_the_bound(self, dependable: int) -> None:
+        stock = CentreStock("north", 1.0, dependable, 0)
+        for order in plan_stock([stock], 1, 3, 0.2):
+            if order.reclaimable:
+                assert order.count + dependable <= 3
+
+
+class TestPlanStages:
+    """Readers must not all lie in one data centre, and changes must be few."""
+
+    def build(self, *stages: str, changing: int = 0) -> list[StagedEngine]:
+        return [
+            StagedEngine(f"e{i}", ("south", "north")[i % 2], stage, 0.0, i < changing)
+            for i, stage in enumerate(stages)
+        ]
+
+    def test_too_few_readers(self) -> None:
+        change = plan_stages(self.build(*["decode"] * 10))
+        assert change.stage == "prefill"
+
+    def test_data_centre_without_readers_comes_first(self) -> None:
+        engines = self.build("prefill", "decode", "prefill", "decode", "decode")
+        assert plan_stages(engines).engine in ("e1", "e3")
+
+    def test_surplus_of_one_stays(self) -> None:
+        assert plan_stages(self.build(*["prefill"] * 7, *["decode"] * 3)) is None
+        change = plan_stages(self.build(*["prefill"] * 8, *["decode"] * 2))
+        assert change.stage == "decode"
+
+    def test_one_engine_always_answers(self) -> None:
+        assert plan_stages(self.build("prefill", "decode")) is None
+        assert plan_stages(self.build("decode")) is None
+
+    def test_changes_in_progress_are_bounded(self) -> None:
+        assert plan_stages(self.build(*["decode"] * 10, changing=2)) is None
+
+
+class FakeFleet:
+    """Register with some engines."""
+
+    def __init__(self, *servers: BackendServer) -> None:
+        self.fleet = Fleet({server.name: server for server in servers})
+
+
+class FakeConfiguration:
+    """Configuration of the scripted gateway, whose engines can be ordered."""
+
+    terms = ScalingTerms(1, 3, 4.0, 0.2, (("north", 1.0),))
+    service = TABLE.services["lm"]._replace(scaling=terms)
+    table = TABLE._replace(services={"lm": service})
+
+
+class FakeAuthority:
+    """Holds the authority or not."""
+
+    number: int | None = 5
+
+    def get_fencing_number(self) -> int | None:
+        return self.number
+
+
+class FakeDuties:
+    """Keeps orders and gives one outcome to all."""
+
+    def __init__(self, outcome) -> None:
+        self.outcome = outcome
+        self.sent = []
+
+    async def order_stage(self, *arguments):
+        self.sent.append(arguments)
+        return self.outcome
+
+    async def order_servers(self, *arguments):
+        self.sent.append(arguments)
+        return self.outcome
+
+
+def run(coroutine) -> None:
+    """Run a turn that does not wait."""
+    errors = []
+    Deferred.fromCoroutine(coroutine).addErrback(errors.append)
+    assert errors == []
+
+
+def build_engine(name: str, stage: str) -> BackendServer:
+    """Return an engine of the service ``lm``."""
+    address = ("10.0.0.1", 80)
+    return BackendServer(name, "lm", address, "north", 64, stage=stage)
+
+
+class TestStageKeeper:
+    """An engine must never get a second order while the first may still act."""
+
+    def build(self, outcome):
+        self.clock = Clock()
+        self.duties = FakeDuties(outcome)
+        self.authority = FakeAuthority()
+        self.announced = []
+        self.fleet = FakeFleet(build_engine("a", "decode"), build_engine("b", "decode"))
+        return StageKeeper(
+            self.clock,
+            self.duties,
+            self.authority,
+            FakeConfiguration(),
+            self.fleet,
+            WorkTable(),
+            lambda *arguments: self.announced.append(arguments),
+        )
+
+    def test_order_is_announced_and_not_repeated(self) -> None:
+        keeper = self.build(Done(202, b""))
+        run(keeper.run_turn())
+        run(keeper.run_turn())
+        assert len(self.duties.sent) == 1
+        assert self.announced[0][0] == self.duties.sent[0][1]
+
+    def test_lost_answer_blocks_the_engine_until_it_cannot_act(self) -> None:
+        keeper = self.build(MayHaveRun("lost"))
+        run(keeper.run_turn())
+        self.clock.advance(LATE_ORDER_SECONDS - 1.0)
+        run(keeper.run_turn())
+        assert len(self.duties.sent) == 1
+        self.clock.advance(2.0)
+        run(keeper.run_turn())
+        assert len(self.duties.sent) == 2
+
+    def test_refused_order_gives_the_engine_back(self) -> None:
+        keeper = self.build(Done(409, b""))
+        run(keeper.run_turn())
+        assert self.announced[-1][1] == 0.0
+
+    def test_without_the_authority_nothing_is_sent(self) -> None:
+        keeper = self.build(Done(202, b""))
+        self.authority.number = None
+        run(keeper.run_turn())
+        assert self.duties.sent == []
+
+
+class TestScaler:
+    """Orders must not be repeated while the servers start."""
+
+    def build(self, outcome):
+        self.clock = Clock()
+        self.duties = FakeDuties(outcome)
+        self.authority = FakeAuthority()
+        return Scaler(
+            self.clock,
+            self.duties,
+            self.authority,
+            FakeConfiguration(),
+            FakeFleet(build_engine("a", "decode")._replace(reclaimable=True)),
+        )
+
+    def test_order_waits_for_the_start(self) -> None:
+        scaler = self.build(Done(200, b""))
+        run(scaler.run_turn())
+        run(scaler.run_turn())
+        assert self.duties.sent == [("lm", "north", 3, True, 5)]
+        self.clock.advance(10.0)
+        run(scaler.run_turn())
+        assert len(self.duties.sent) == 2
+
+    def test_refused_order_is_tried_again_soon(self) -> None:
+        scaler = self.build(Done(409, b""))
+        run(scaler.run_turn())
+        self.clock.advance(3.0)
+        run(scaler.run_turn())
+        assert len(self.duties.sent) == 2
+
+    def test_without_the_authority_nothing_is_sent(self) -> None:
+        scaler = self.build(Done(200, b""))
+        self.authority.number = None
+        run(scaler.run_turn())
+        assert self.duties.sent == []
