Learn prompt parts after a start from the other VMs or from the engines

A VM that was there before tells a new process; if all processes are new, each engine is asked by one of them.

--- a/tests/test_capacity_orders.py
+++ b/tests/test_capacity_orders.py
@@ -8,6 +8,7 @@
 
 from tests.support._gateway_world import TABLE
 from wisteriagw.fleet import BackendServer, Fleet
+from wisteriagw.gateway._cache_survey import CacheSurvey
 from wisteriagw.gateway._scaler import Scaler
 from wisteriagw.gateway._stage_keeper import LATE_ORDER_SECONDS, StageKeeper
 from wisteriagw.outcomes import Done, MayHaveRun
@@ -213,3 +214,50 @@
         self.authority.number = None
         run(scaler.run_turn())
         assert self.duties.sent == []
+
+
+class FakeMembers:
+    """VMs that are heard, with the start of the oldest process."""
+
+    def __init__(self, earliest: float) -> None:
+        self.earliest = earliest
+
+    def find_earliest_start(self, now: float) -> float:
+        return self.earliest
+
+    def list_heard(self, now: float) -> list[str]:
+        return ["vm-1"]
+
+
+class FakeEngines:
+    """Engines that keep one part."""
+
+    def __init__(self) -> None:
+        self.asked = []
+
+    async def list_parts(self, address):
+        self.asked.append(address)
+        return [("aa", 100)]
+
+
+class TestCacheSurvey:
+    """Engines must be asked after the loss of all VMs, and only then."""
+
+    @pytest.mark.parametrize(("earliest", "asked"), [(100.0, 1), (20.0, 0)])
+    def test_by_the_age_of_the_others(self, earliest: float, asked: int) -> None:
+        clock = Clock()
+        clock.advance(100.0)
+        engines = FakeEngines()
+        noted = []
+        survey = CacheSurvey(
+            clock,
+            engines,
+            FakeFleet(build_engine("a", "decode"), build_engine("plain", "")),
+            FakeMembers(earliest),
+            "vm-1",
+            lambda server, parts: noted.append((server.name, parts)),
+        )
+        survey.start()
+        clock.advance(1.0)
+        assert len(engines.asked) == asked
+        assert noted == [("a", [("aa", 100)])] * asked
--- a/tests/test_gateway_feeds.py
+++ b/tests/test_gateway_feeds.py
@@ -240,7 +240,9 @@
         self.store = PollingStore(self.clock)
         self.mesh = RecordingMesh()
         own = Member("vm-1", "north", "10.0.0.1:80", "10.0.0.1", 7000, "a")
-        members = Members(self.clock, self.store, self.mesh, own)
+        self.greeted = []
+        greet = lambda: self.greeted.append(1)  # noqa: E731
+        members = Members(self.clock, self.store, self.mesh, own, greet)
         members.register()
         other = Member("vm-2", "north", "10.0.0.2:80", "10.0.0.2", 7000, "b")
         self.put("vm-2", json.dumps(other._asdict()).encode())
@@ -263,6 +265,13 @@
         assert self.list_up(members) == ["vm-2"]
         assert [peer.vm for peer in self.mesh.peers] == ["vm-1", "vm-2"]
 
+    def test_new_process_is_greeted_once(self) -> None:
+        self.build()
+        for incarnation in ("b", "b", "c"):
+            news = GatewayNews(True, incarnation=incarnation)
+            self.mesh.handlers[GatewayNews]("vm-2", news)
+        assert len(self.greeted) == 2
+
     def test_silent_vm_is_left_out(self) -> None:
         members = self.build()
         self.hear()
@@ -293,7 +302,8 @@
         self.store = PollingStore(self.clock)
         self.store.topics.down = True
         own = Member("vm-1", "north", "10.0.0.1:80", "10.0.0.1", 7000, "a")
-        Members(self.clock, self.store, RecordingMesh(), own).register()
+        members = Members(self.clock, self.store, RecordingMesh(), own, lambda: None)
+        members.register()
         advance(self.clock, 1.0)
         self.store.topics.down = False
         advance(self.clock, 1.0)
--- a/wisteriagw/gateway/_attempts_at_servers.py
+++ b/wisteriagw/gateway/_attempts_at_servers.py
@@ -260,6 +260,15 @@
         context.rates.learn(self._service.name, tokens, seconds)
         context.work.note_success(server.name, context.reactor.seconds())
         self._handle = (server.address, handle)
+        context.log.write(
+            "prefilled",
+            request_id=self._caller.request_id,
+            server=server.name,
+            fetched_from=plan.fetch_from,
+            waiting_tokens=round(waiting),
+            uncached_tokens=round(plan.uncached_tokens),
+            seconds=round(seconds, 4),
+        )
         return self._handle
 
     async def _send(
--- a/wisteriagw/gateway/_main.py
+++ b/wisteriagw/gateway/_main.py
@@ -27,6 +27,8 @@
 
 PROGRAM = "wisteriagw-gateway"
 EXIT_INVALID_SETTINGS = 2
+# The port that Prometheus exporters usually take.
+DEFAULT_METRICS_PORT = 9464
 # Platforms change settings without a signal too.
 SETTINGS_CHECK_SECONDS = 2.0
 
@@ -42,6 +44,13 @@
         default=os.environ.get(SETTINGS_VARIABLE),
         help=f"Settings file of the platform; default: ${SETTINGS_VARIABLE}.",
     )
+    parser.add_argument(
+        "--metrics-port",
+        type=int,
+        default=int(os.environ.get("WISTERIAGW_METRICS_PORT", DEFAULT_METRICS_PORT)),
+        help="Port of the metrics on this VM; default: $WISTERIAGW_METRICS_PORT or "
+        f"{DEFAULT_METRICS_PORT}.",
+    )
     parser.add_argument(
         "--check", action="store_true", help="Check the settings file and exit."
     )
@@ -51,7 +60,7 @@
         sys.stderr.write(format_findings(settings) + "\n")
         sys.exit(EXIT_INVALID_SETTINGS)
     if not options.check:
-        run(settings, options.settings)
+        run(settings, options.settings, options.metrics_port)
 
 
 def read_settings(path: str | None) -> NodeSettings | list[Finding]:
@@ -65,7 +74,7 @@
     return parse_settings(text)
 
 
-def run(settings: NodeSettings, path: str) -> None:
+def run(settings: NodeSettings, path: str, metrics_port: int) -> None:
     """Run the process until it is told to stop."""
     from twisted.internet import reactor
     from twisted.python.log import PythonLoggingObserver
@@ -79,7 +88,7 @@
     start_logging(PROGRAM, stream=sys.stdout)
     PythonLoggingObserver("wisteriagw.twisted").start()
     logging.getLogger("wisteriagw.twisted").setLevel(logging.ERROR)
-    node = Node(reactor, settings)
+    node = Node(reactor, settings, metrics_port)
     watch = SettingsWatch(reactor, settings, lambda: read_settings(path))
     reactor.callWhenRunning(node.start)
     reactor.callWhenRunning(watch.start, SETTINGS_CHECK_SECONDS)
--- a/wisteriagw/gateway/_members.py
+++ b/wisteriagw/gateway/_members.py
@@ -14,8 +14,11 @@
 from wisteriagw.mesh import PeerAddress
 from wisteriagw.messages import GatewayNews
 from wisteriagw.platform import MEMBERS_TOPIC, StoreUnavailableError
+from wisteriagw.rendezvous import rank_names
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from wisteriagw.mesh import Mesh
     from wisteriagw.platform import StoreClient, StoreRecord
 
@@ -31,6 +34,11 @@
 class Members:
     """Registers this VM and knows which others are up.
 
+    Parameters
+    ----------
+    greet : callable
+        Called when a new process is heard and this VM shall tell it what it knows.
+
     Attributes
     ----------
     entries : dict of str to Member
@@ -38,14 +46,22 @@
     """
 
     def __init__(
-        self, reactor: Any, store: StoreClient, mesh: Mesh, own: Member
+        self,
+        reactor: Any,
+        store: StoreClient,
+        mesh: Mesh,
+        own: Member,
+        greet: Callable[[], None],
     ) -> None:
         self.entries: dict[str, Member] = {own.vm: own}
         self._reactor = reactor
         self._store = store
         self._mesh = mesh
         self._own = own
+        self._greet = greet
         self._heard: dict[str, tuple[float, bool]] = {}
+        self._incarnations: dict[str, str] = {}
+        self._started_at: dict[str, float] = {}
         self._writing: Deferred[None] | None = None
         self.follower = TopicFollower(
             reactor,
@@ -75,14 +91,21 @@
                 found.append(member)
         return found
 
-    def count_heard(self, now: float) -> int:
-        """Return the number of VMs that are heard, this one included."""
-        heard = 1
+    def list_heard(self, now: float) -> list[str]:
+        """Return the VMs that are heard, this one included."""
+        heard = [self._own.vm]
         for vm, (heard_at, _) in self._heard.items():
             if vm in self.entries and now - heard_at < HEARD_SECONDS:
-                heard += 1
+                heard.append(vm)
         return heard
 
+    def find_earliest_start(self, now: float) -> float:
+        """Return when the oldest of the other processes that are heard started."""
+        heard = self.list_heard(now)
+        return min(
+            (at for vm, at in self._started_at.items() if vm in heard), default=now
+        )
+
     def stop(self) -> None:
         """End reading and writing."""
         self.follower.stop()
@@ -90,7 +113,15 @@
             self._writing.cancel()
 
     def _take_news(self, sender: str, news: GatewayNews) -> None:
-        self._heard[sender] = (self._reactor.seconds(), news.ready)
+        now = self._reactor.seconds()
+        self._heard[sender] = (now, news.ready)
+        self._started_at[sender] = now - news.uptime
+        if self._incarnations.get(sender) != news.incarnation:
+            self._incarnations[sender] = news.incarnation
+            others = [vm for vm in self.list_heard(now) if vm != sender]
+            # One of the VMs that were there before tells the new process.
+            if rank_names(sender, others)[0] == self._own.vm:
+                self._greet()
 
     def _write(self, value: bytes) -> None:
         if self._writing is not None:
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -13,6 +13,7 @@
 from wisteriagw.clocks import SteadyWallClock, read_wall_time
 from wisteriagw.connections import CallClient, ConnectionPool, ServerFactory
 from wisteriagw.gateway._authority_keeper import AuthorityKeeper
+from wisteriagw.gateway._cache_survey import CacheSurvey
 from wisteriagw.gateway._configuration_feed import ConfigurationFeed
 from wisteriagw.gateway._context import GatewayContext
 from wisteriagw.gateway._decision_log import DecisionLog
@@ -34,10 +35,12 @@
 from wisteriagw.mesh import Mesh
 from wisteriagw.messages import GatewayNews
 from wisteriagw.placement import WorkTable
-from wisteriagw.platform import DutyClient, StoreClient
+from wisteriagw.platform import DutyClient, EngineClient, StoreClient
 from wisteriagw.routes import CallerLimits
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from wisteriagw.fleet import BackendServer
     from wisteriagw.platform import NodeSettings
     from wisteriagw.routes import RoutingTable
@@ -60,10 +63,12 @@
 class Node:
     """Builds the parts of the process and runs them until it is told to stop."""
 
-    def __init__(self, reactor: Any, settings: NodeSettings) -> None:
+    def __init__(self, reactor: Any, settings: NodeSettings, metrics_port: int) -> None:
         self.stopping = False
         self._reactor = reactor
+        self._started_at = reactor.seconds()
         self._settings = settings
+        self._metrics_address = (settings.front[0], metrics_port)
         self._loops: list[LoopingCall] = []
         incarnation = secrets.token_hex(INCARNATION_BYTES)
         self._pool = ConnectionPool(reactor)
@@ -72,7 +77,11 @@
         self._work = WorkTable()
         self._mesh = Mesh(reactor, settings.vm)
         self._members = Members(
-            reactor, self._store, self._mesh, build_member(settings, incarnation)
+            reactor,
+            self._store,
+            self._mesh,
+            build_member(settings, incarnation),
+            self._tell_parts,
         )
         self._configuration = ConfigurationFeed(
             reactor, self._store, settings.withdrawal_seconds, self._apply
@@ -116,6 +125,14 @@
             self._work,
             self._announce_away,
         )
+        self._survey = CacheSurvey(
+            reactor,
+            EngineClient(calls),
+            self._fleet,
+            self._members,
+            settings.vm,
+            self._take_survey,
+        )
         self.context = GatewayContext(
             reactor,
             settings,
@@ -151,7 +168,7 @@
         """Listen and start to follow the store."""
         settings = self._settings
         self._listen(settings.front, self._front)
-        for address in {settings.ready, settings.directory}:
+        for address in {settings.ready, settings.directory, self._metrics_address}:
             self._listen(address, self._directory)
         self._mesh.listen(*settings.peers)
         self._configuration.follower.start()
@@ -159,6 +176,8 @@
         self._members.register()
         self._authority.start()
         self._usage_writer.start()
+        if not settings.first_start:
+            self._survey.start()
         self._repeat(NEWS_SECONDS, self._send_news)
         self._repeat(SWEEP_SECONDS, self._sweep)
         self._repeat(DUTY_SECONDS, self._run_duties)
@@ -223,7 +242,8 @@
         self._pool.close_address(server.address)
 
     def _send_news(self) -> None:
-        news = self.context.news.take(self.is_ready(), self._work.list_own())
+        uptime = self._reactor.seconds() - self._started_at
+        news = self.context.news.take(self.is_ready(), uptime, self._work.list_own())
         self._mesh.broadcast(news)
 
     def _take_news(self, sender: str, news: GatewayNews) -> None:
@@ -233,14 +253,24 @@
         for server, seconds in news.away:
             self._work.note_away(server, now + seconds)
         for server, part, tokens in news.parts:
-            known = self._fleet.fleet.servers.get(server)
-            table = self._configuration.table
-            service = table.services.get(known.service) if known and table else None
-            if service is None or service.engine is None:
-                continue
-            self._work.parts.note_use(
-                server, ((part, tokens),), service.engine.capacity_tokens
-            )
+            self._note_parts(server, ((part, tokens),))
+
+    def _note_parts(
+        self, server: str, parts: Iterable[tuple[str, int]]
+    ) -> list[tuple[str, int]]:
+        known = self._fleet.fleet.servers.get(server)
+        table = self._configuration.table
+        service = table.services.get(known.service) if known and table else None
+        if service is None or service.engine is None:
+            return []
+        capacity = service.engine.capacity_tokens
+        return self._work.parts.note_use(server, parts, capacity)
+
+    def _take_survey(self, server: BackendServer, parts: list[tuple[str, int]]) -> None:
+        self.context.news.note_parts(server.name, self._note_parts(server.name, parts))
+
+    def _tell_parts(self) -> None:
+        self.context.news.repeat_parts(self._work.parts.list_parts())
 
     def _announce_away(self, server: str, seconds: float) -> None:
         self._work.note_away(server, self._reactor.seconds() + seconds)
@@ -251,7 +281,7 @@
         self._pool.close_idle()
         self._front.close_idle()
         self._directory.close_idle()
-        vms = self._members.count_heard(self._reactor.seconds())
+        vms = len(self._members.list_heard(self._reactor.seconds()))
         self.context.budgets.set_vms(max(vms, len(self._members.entries)))
         metrics = self.context.metrics
         metrics.vms.set(vms)
--- a/wisteriagw/gateway/_peer_news.py
+++ b/wisteriagw/gateway/_peer_news.py
@@ -32,6 +32,10 @@
         for part, tokens in parts:
             self._parts.append((server, part, tokens))
 
+    def repeat_parts(self, rows: list[tuple[str, str, int]]) -> None:
+        """Take rows of engine, part and tokens that a new peer has to learn."""
+        self._parts.extend(rows)
+
     def note_demand(self, service: str, tokens: float) -> None:
         """Take prompt tokens that were asked for."""
         self._demand[service] = self._demand.get(service, 0.0) + tokens
@@ -40,7 +44,9 @@
         """Take that a server gets no requests for some seconds."""
         self._away.append((server, seconds))
 
-    def take(self, ready: bool, work: list[tuple[str, float, float]]) -> GatewayNews:
+    def take(
+        self, ready: bool, uptime: float, work: list[tuple[str, float, float]]
+    ) -> GatewayNews:
         """Return the next message."""
         parts, self._parts = self._parts[:MAX_ROWS], self._parts[MAX_ROWS:]
         demand, self._demand = self._demand, {}
@@ -56,5 +62,6 @@
             tuple(demand.items()),
             tuple(away),
             self._incarnation,
+            uptime,
             tuple(usage),
         )
--- a/wisteriagw/membership/__init__.py
+++ b/wisteriagw/membership/__init__.py
@@ -28,7 +28,6 @@
 from wisteriagw.membership._probe import Probe
 from wisteriagw.membership._probes import choose_probes, decide_probe_answer
 from wisteriagw.membership._remote_summary import RemoteSummary
-from wisteriagw.membership._rendezvous import rank_names
 from wisteriagw.membership._signs import is_backend_leaving, merge_signs
 from wisteriagw.membership._status import (
     FAIL_SECONDS,
@@ -58,6 +57,7 @@
 )
 from wisteriagw.membership._vm_list_digest import compute_vm_list_digest
 from wisteriagw.membership._vm_status import VmStatus
+from wisteriagw.rendezvous import rank_names
 
 __all__ = [
     "BackendSign",
--- a/wisteriagw/membership/_probes.py
+++ b/wisteriagw/membership/_probes.py
@@ -7,8 +7,8 @@
 from wisteriagw.membership._links import list_direct_peers
 from wisteriagw.membership._member import NEVER
 from wisteriagw.membership._probe import Probe
-from wisteriagw.membership._rendezvous import rank_names
 from wisteriagw.membership._status import FAIL_SECONDS, SUSPECT_SECONDS
+from wisteriagw.rendezvous import rank_names
 
 if TYPE_CHECKING:
     from wisteriagw.membership._membership_state import MembershipState
--- a/wisteriagw/membership/_topology.py
+++ b/wisteriagw/membership/_topology.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from wisteriagw.membership._rendezvous import rank_names
+from wisteriagw.rendezvous import rank_names
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
--- a/wisteriagw/messages/_gateway_news.py
+++ b/wisteriagw/messages/_gateway_news.py
@@ -27,6 +27,8 @@
         sender has ordered a change.
     incarnation : str
         Process that sends the message.
+    uptime : float
+        Seconds since that process started.
     usage : tuple
         Rows of usage window, customer and requests that the sender began, about once
         a second.
@@ -38,4 +40,5 @@
     demand: tuple = ()
     away: tuple = ()
     incarnation: str = ""
+    uptime: float = 0.0
     usage: tuple = ()
--- a/wisteriagw/placement/_cached_parts.py
+++ b/wisteriagw/placement/_cached_parts.py
@@ -55,6 +55,14 @@
         self._tokens[server] = tokens
         return added
 
+    def list_parts(self) -> list[tuple[str, str, int]]:
+        """Return rows of engine, part and tokens, the least recently used first."""
+        return [
+            (server, part, size)
+            for server, known in self._parts.items()
+            for part, size in known.items()
+        ]
+
     def forget(self, server: str) -> None:
         """Drop what is believed of an engine that is gone or started again."""
         self._parts.pop(server, None)
--- a/wisteriagw/platform/__init__.py
+++ b/wisteriagw/platform/__init__.py
@@ -26,6 +26,7 @@
     encode_addresses,
 )
 from wisteriagw.platform._duty_client import DutyClient, is_done, is_unknown
+from wisteriagw.platform._engine_client import EngineClient
 from wisteriagw.platform._forwarding import encode_forwarded
 from wisteriagw.platform._forwarding_terms import ForwardingTerms
 from wisteriagw.platform._node_settings import NodeSettings
@@ -58,6 +59,7 @@
     "AppendConflictError",
     "CallerRequest",
     "DutyClient",
+    "EngineClient",
     "ForwardingTerms",
     "NodeSettings",
     "StoreClient",
