Send news ten times a second

Cause: within the 0.2 s between two messages several VMs chose the same idle engine; reads of prompts that were expected to start at once took up to 1.7 s.

--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -47,7 +47,7 @@
 
 logger = logging.getLogger(__name__)
 
-NEWS_SECONDS = 0.2
+NEWS_SECONDS = 0.1
 SWEEP_SECONDS = 1.0
 DUTY_SECONDS = 0.5
 INCARNATION_BYTES = 8
--- a/wisteriagw/gateway/_peer_news.py
+++ b/wisteriagw/gateway/_peer_news.py
@@ -12,7 +12,7 @@
 # Rows in one message; what is left waits for the next one.
 MAX_ROWS = 400
 # Usage goes with every so many messages, and covers the current and the last window.
-USAGE_MESSAGES = 5
+USAGE_MESSAGES = 10
 USAGE_WINDOWS = 2
 
 
