--- a/wisteriagw/gateway/_fleet_feed.py
+++ b/wisteriagw/gateway/_fleet_feed.py
@@ -18,7 +18,7 @@
 
 logger = logging.getLogger(__name__)
 
-WAIT_SECONDS = 2.0
+WAIT_SECONDS = 5.0
 # Backend servers report several times a second all together; reading them in batches
 # saves calls, and a leaving server is still known well before it must get no work.
 PACE_SECONDS = 0.4
--- a/wisteriagw/gateway/_members.py
+++ b/wisteriagw/gateway/_members.py
@@ -26,7 +26,8 @@
 
 # Entries change only when a VM starts or ends, so reads wait for long.
 WAIT_SECONDS = 15.0
-# Five messages are missed before callers are sent elsewhere.
+# Silence after which callers are sent elsewhere, until it is set by the rate of the
+# messages.
 HEARD_SECONDS = 1.0
 WRITE_PAUSE_SECONDS = 0.5
 
@@ -43,6 +44,8 @@
     ----------
     entries : dict of str to Member
         VMs that have registered and not left.
+    heard_seconds : float
+        Silence after which a VM does not count as heard.
     """
 
     def __init__(
@@ -54,6 +57,7 @@
         greet: Callable[[], None],
     ) -> None:
         self.entries: dict[str, Member] = {own.vm: own}
+        self.heard_seconds = HEARD_SECONDS
         self._reactor = reactor
         self._store = store
         self._mesh = mesh
@@ -87,7 +91,7 @@
         found = []
         for vm, member in self.entries.items():
             heard_at, ready = self._heard.get(vm, (float("-inf"), False))
-            if vm != self._own.vm and ready and now - heard_at < HEARD_SECONDS:
+            if vm != self._own.vm and ready and now - heard_at < self.heard_seconds:
                 found.append(member)
         return found
 
@@ -95,7 +99,7 @@
         """Return the VMs that are heard, this one included."""
         heard = [self._own.vm]
         for vm, (heard_at, _) in self._heard.items():
-            if vm in self.entries and now - heard_at < HEARD_SECONDS:
+            if vm in self.entries and now - heard_at < self.heard_seconds:
                 heard.append(vm)
         return heard
 
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -48,6 +48,14 @@
 logger = logging.getLogger(__name__)
 
 NEWS_SECONDS = 0.1
+# Above this many VMs each sends more rarely, so that the messages that a VM gets in a
+# second stay the same.
+VMS_AT_FULL_RATE = 12
+# Work of a peer counts while not more than so many of its messages are missing.
+PEER_WORK_INTERVALS = 5.0
+# A peer is up while it is heard within this time, or within so many intervals.
+HEARD_SECONDS = 1.0
+HEARD_INTERVALS = 3.0
 SWEEP_SECONDS = 1.0
 DUTY_SECONDS = 0.5
 INCARNATION_BYTES = 8
@@ -183,7 +191,7 @@
         self._usage_writer.start()
         if not settings.first_start:
             self._survey.start()
-        self._repeat(NEWS_SECONDS, self._send_news)
+        self._repeat_news()
         self._repeat(SWEEP_SECONDS, self._sweep)
         self._repeat(DUTY_SECONDS, self._run_duties)
         logger.info("VM %s in %s started", settings.vm, settings.data_centre)
@@ -277,6 +285,13 @@
     def _tell_parts(self) -> None:
         self.context.news.repeat_parts(self._work.parts.list_parts())
 
+    def _repeat_news(self) -> None:
+        self._send_news()
+        interval = find_news_interval(len(self._members.entries))
+        self._work.peer_work_seconds = PEER_WORK_INTERVALS * interval
+        self._members.heard_seconds = max(HEARD_SECONDS, HEARD_INTERVALS * interval)
+        self._reactor.callLater(interval, self._repeat_news)
+
     def _announce_away(self, server: str, seconds: float) -> None:
         self._work.note_away(server, self._reactor.seconds() + seconds)
         self.context.news.note_away(server, seconds)
@@ -302,6 +317,11 @@
         await run_safely(self._reporter.run_turn)
 
 
+def find_news_interval(vms: int) -> float:
+    """Return the seconds between two messages to the peers."""
+    return NEWS_SECONDS * max(1.0, vms / VMS_AT_FULL_RATE)
+
+
 def build_member(settings: NodeSettings, incarnation: str) -> Member:
     """Return the entry of this VM."""
     host, port = settings.peers
--- a/wisteriagw/gateway/_request_handler.py
+++ b/wisteriagw/gateway/_request_handler.py
@@ -43,8 +43,6 @@
             return
         now = context.reactor.seconds()
         context.budgets.count_request(decision.service.name, now)
-        if caller.prompt is not None:
-            context.news.note_demand(decision.service.name, caller.prompt.tokens)
         Exchange(context, request, caller, decision, responder).start()
 
     def _deny(self, denied: Denied, request_id: str, responder: Responder) -> None:
--- a/wisteriagw/messages/_gateway_news.py
+++ b/wisteriagw/messages/_gateway_news.py
@@ -20,8 +20,6 @@
     parts : tuple
         Rows of backend server, prompt part and tokens that the sender sent there since
         the last message.
-    demand : tuple
-        Rows of service and prompt tokens asked for since the last message.
     away : tuple
         Rows of backend server and seconds for which it takes no requests, because the
         sender has ordered a change.
@@ -37,7 +35,6 @@
     ready: bool
     work: tuple = ()
     parts: tuple = ()
-    demand: tuple = ()
     away: tuple = ()
     incarnation: str = ""
     uptime: float = 0.0
--- a/wisteriagw/placement/_work_table.py
+++ b/wisteriagw/placement/_work_table.py
@@ -13,7 +13,7 @@
     from wisteriagw.fleet import BackendServer
     from wisteriagw.placement._prompt import Prompt
 
-# Peers report several times a second; what is older says nothing of a queue.
+# Age up to which a peer's work counts, until it is set by the rate of the messages.
 PEER_WORK_SECONDS = 1.0
 # A failure makes a server this much less attractive, and is forgiven step by step.
 FAILURE_SECONDS = 0.3
@@ -28,9 +28,12 @@
     ----------
     parts : CachedParts
         Prompt parts that engines are believed to keep.
+    peer_work_seconds : float
+        Age up to which a peer's work counts; older work says nothing of a queue.
     """
 
     def __init__(self) -> None:
+        self.peer_work_seconds = PEER_WORK_SECONDS
         self.parts = CachedParts()
         self._own: dict[str, list[float]] = {}
         self._peers: dict[str, tuple[float, dict[str, tuple[float, float]]]] = {}
@@ -104,7 +107,7 @@
         peers = [
             rows
             for read_at, rows in self._peers.values()
-            if now - read_at < PEER_WORK_SECONDS
+            if now - read_at < self.peer_work_seconds
         ]
         views = []
         for server in servers:
