--- a/wisteriagw/gateway/_scaler.py
+++ b/wisteriagw/gateway/_scaler.py
@@ -5,7 +5,6 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
-from wisteriagw.platform import is_done
 from wisteriagw.spending import CentreStock, plan_stock
 
 if TYPE_CHECKING:
@@ -18,10 +17,10 @@
 
 logger = logging.getLogger(__name__)
 
-# An order shows in the register after the start of the server and a heartbeat.
-SETTLE_SECONDS = 3.0
-# Pause after an order that was refused, usually because none are to be had.
-REFUSED_PAUSE_SECONDS = 2.0
+# An order names a number and not a difference, so it may be sent again. The platform
+# cuts an order down while servers of the other kind have not left yet, and refuses it
+# while none are to be had.
+PAUSE_SECONDS = 2.0
 
 
 class Scaler:
@@ -79,10 +78,7 @@
         outcome = await self._duties.order_servers(
             service.name, order.data_centre, order.count, order.reclaimable, number
         )
-        pause = REFUSED_PAUSE_SECONDS
-        if is_done(outcome):
-            pause = service.scaling.startup_seconds + SETTLE_SECONDS
-        self._quiet_until[key] = self._reactor.seconds() + pause
+        self._quiet_until[key] = self._reactor.seconds() + PAUSE_SECONDS
         logger.info(
             "order %s of %s with number %d: %s", order, service.name, number, outcome
         )
--- a/wisteriagw/roles/_stage_planning.py
+++ b/wisteriagw/roles/_stage_planning.py
@@ -19,7 +19,7 @@
 # Part of an engine's slots up to which its steps stay quick.
 COMFORTABLE_BATCH = 0.5
 # Bursts come again within this time, and each change takes an engine away for seconds.
-PEAK_HALF_LIFE_SECONDS = 20.0
+PEAK_HALF_LIFE_SECONDS = 60.0
 # Each change is priced and takes an engine away, so a difference of one stays.
 TOLERATED_DIFFERENCE = 1
 MAX_CHANGING = 2
