Add a randomized soak of the gateway program against a platform stand-in

The soak runs the real programs on loopback, injects overlapping faults by signals, a proxy and the stand-in, and checks from what callers and backend servers see.

--- /dev/null
+++ b/tests/soak/_faults.py
@@ -0,0 +1,119 @@
+"""Faults of a soak, drawn from a seed."""
+
+from __future__ import annotations
+
+import json
+import signal
+
+from twisted.internet.task import deferLater
+
+from tests.soak._fleet import CUSTOMERS, build_configuration
+from wisteriagw.connections import CallClient, ConnectionPool
+
+# Names of the faults, with whether a process loses what it knows.
+KINDS = (
+    "kill",
+    "terminate",
+    "pause",
+    "silence",
+    "one_way",
+    "reset",
+    "delay",
+    "store_down",
+    "store_loses",
+    "answers_lost",
+    "refusals",
+    "leaving",
+    "configuration",
+)
+MAX_SECONDS = 3.0
+
+
+class Faults:
+    """Injects faults from outside of the processes; series overlap.
+
+    Attributes
+    ----------
+    history : list of str
+        Faults in their order.
+    withdrawn : dict of str to float
+        When the keys of customers were withdrawn.
+    """
+
+    def __init__(self, reactor, fleet) -> None:
+        self.history: list[str] = []
+        self.withdrawn: dict[str, float] = {}
+        self._reactor = reactor
+        self._fleet = fleet
+        self._calls = CallClient(reactor, ConnectionPool(reactor))
+        self._version = 1
+
+    async def publish(self, customers=CUSTOMERS) -> None:
+        """Publish the next version of the configuration."""
+        self._version += 3
+        body = build_configuration(self._version, customers)
+        await self.call("POST", "/configuration", body)
+
+    async def call(self, method: str, path: str, body: bytes = b""):
+        """Call the stand-in, not through a link."""
+        address = ("127.0.0.1", self._fleet.platform)
+        return await self._calls.send(address, method, path, body, timeout=3.0)
+
+    async def set(self, **faults) -> None:
+        """Set faults of the stand-in."""
+        await self.call("POST", "/faults", json.dumps(faults).encode())
+
+    async def inject(self) -> None:
+        """Inject one fault and take it back after a while."""
+        random = self._fleet.random
+        kind = random.choice(KINDS)
+        vm = random.choice(sorted(self._fleet.fronts))
+        seconds = random.uniform(0.3, MAX_SECONDS)
+        self.history.append(f"{kind} {vm} {seconds:.1f}")
+        if kind in ("kill", "terminate"):
+            number = signal.SIGKILL if kind == "kill" else signal.SIGTERM
+            self._fleet.send_signal(vm, number)
+        elif kind == "pause":
+            self._fleet.send_signal(vm, signal.SIGSTOP)
+            await deferLater(self._reactor, seconds)
+            self._fleet.send_signal(vm, signal.SIGCONT)
+        elif kind in ("silence", "one_way", "reset", "delay"):
+            await self._disturb_link(kind, vm, seconds)
+        elif kind == "store_down":
+            await self.set(down=True)
+            await deferLater(self._reactor, seconds)
+            await self.set(down=False)
+        else:
+            await self._disturb_platform(kind, random, seconds)
+
+    async def _disturb_link(self, kind: str, vm: str, seconds: float) -> None:
+        link = self._fleet.links[vm]
+        if kind == "reset":
+            link.reset()
+        elif kind == "delay":
+            link.delay = 0.3
+        else:
+            link.mode = kind
+        await deferLater(self._reactor, seconds)
+        link.mode, link.delay = "pass", 0.0
+
+    async def _disturb_platform(self, kind: str, random, seconds: float) -> None:
+        if kind == "store_loses":
+            await self.set(lose=random.randint(1, 3))
+        elif kind == "answers_lost":
+            await self.set(lose_answers={"desk-1": 2, "engine-1": 2})
+        elif kind == "refusals":
+            await self.set(refuse={"desk-2": 2, "reader-1": 2, "engine-2": 1})
+        elif kind == "leaving":
+            await self.set(gone=["desk-1", "engine-2"])
+            await deferLater(self._reactor, seconds + 1.0)
+            await self.set(gone=[])
+        else:
+            customers = CUSTOMERS
+            if "t-3" in self.withdrawn or random.random() < 0.5:
+                self.withdrawn.setdefault("t-3", float("inf"))
+                customers = CUSTOMERS[:2]
+            await self.publish(customers)
+            if customers != CUSTOMERS:
+                now = self._reactor.seconds()
+                self.withdrawn["t-3"] = min(now, self.withdrawn["t-3"])
--- /dev/null
+++ b/wisteriagw/standins/_platform_program.py
@@ -0,0 +1,105 @@
+"""Program of the platform stand-in."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+from wisteriagw.connections import ServerFactory
+from wisteriagw.platform import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TOPIC,
+    REGISTER_TOPIC,
+)
+from wisteriagw.routes import CallerLimits
+from wisteriagw.standins._store_server import StoreServer
+from wisteriagw.standins._worker_server import WorkerServer
+
+if TYPE_CHECKING:
+    from wisteriagw.connections import HttpRequest, Responder
+
+HEARTBEAT_SECONDS = 0.3
+# Name, service and stage of each backend server.
+SERVERS = (
+    ("desk-1", "desk", ""),
+    ("desk-2", "desk", ""),
+    ("reader-1", "lm", "prefill"),
+    ("engine-1", "lm", "decode"),
+    ("engine-2", "lm", "decode"),
+)
+
+
+class PlatformStandIn:
+    """Store, interface for duties, and backend servers in one process.
+
+    ``GET /seen`` tells what was run and reported, ``POST /faults`` sets faults and
+    ``POST /configuration`` publishes a configuration.
+    """
+
+    def __init__(self, reactor: Any, address: tuple[str, int]) -> None:
+        self.store = StoreServer(reactor)
+        self.runs: list[list[Any]] = []
+        self.reports: list[list[Any]] = []
+        self.workers: dict[str, WorkerServer] = {}
+        self._reactor = reactor
+        self._address = address
+        self._silent: set[str] = set()
+
+    def start(self) -> None:
+        """Listen on the address and on one port for each backend server above it."""
+        host, port = self._address
+        self._listen(port, self.handle)
+        for number, (name, _, _) in enumerate(SERVERS, 1):
+            self.workers[name] = WorkerServer(self._reactor, name, self.runs)
+            self._listen(port + number, self.workers[name].handle)
+        self._beat()
+
+    def handle(self, request: HttpRequest, responder: Responder) -> None:
+        """Answer a call of the system or of the test."""
+        if request.target == b"/seen":
+            seen = {"runs": self.runs, "reports": self.reports}
+            responder.reply(200, (), json.dumps(seen).encode())
+        elif request.target == b"/faults":
+            self._set_faults(json.loads(request.body))
+            responder.reply(200)
+        elif request.target == b"/configuration":
+            self.store.put(CONFIGURATION_TOPIC, CONFIGURATION_KEY, request.body)
+            responder.reply(200)
+        elif request.target in (b"/usage", b"/scale"):
+            holder = (request.find_header(b"x-wisteriagw-duty-holder") or b"").decode()
+            number = int(request.find_header(b"x-wisteriagw-fence-token") or 0)
+            now = self._reactor.seconds()
+            call = [request.target.decode(), holder, number, now]
+            self.reports.append([*call, json.loads(request.body)])
+            responder.reply(200, (), b"{}")
+        else:
+            self.store.handle(request, responder)
+
+    def _set_faults(self, faults: dict[str, Any]) -> None:
+        self.store.down = bool(faults.get("down", self.store.down))
+        self.store.topics.lose_answers += int(faults.get("lose", 0))
+        self._silent = set(faults.get("gone", self._silent))
+        for name, count in faults.get("lose_answers", {}).items():
+            self.workers[name].lose_answers += count
+        for name, count in faults.get("refuse", {}).items():
+            self.workers[name].refuse += count
+
+    def _beat(self) -> None:
+        host, port = self._address
+        for number, (name, service, stage) in enumerate(SERVERS, 1):
+            fields = {
+                "service": service,
+                "address": f"{host}:{port + number}",
+                "zone": "north",
+                "slots": 16,
+                "state": "draining" if name in self._silent else "ready",
+                "born": 1,
+            }
+            if stage:
+                fields["stage"] = stage
+            self.store.put(REGISTER_TOPIC, name, json.dumps(fields).encode())
+        self._reactor.callLater(HEARTBEAT_SECONDS, self._beat)
+
+    def _listen(self, port: int, handle: Any) -> None:
+        factory = ServerFactory(handle, CallerLimits(), self._reactor.seconds)
+        self._reactor.listenTCP(port, factory, interface=self._address[0])
--- a/wisteriagw/standins/_programs.py
+++ b/wisteriagw/standins/_programs.py
@@ -30,6 +30,7 @@
 from wisteriagw.standins._engine_speed import EngineSpeed
 from wisteriagw.standins._log_resource import LogResource
 from wisteriagw.standins._log_store import LogStore
+from wisteriagw.standins._platform_program import PlatformStandIn
 from wisteriagw.standins._service_resource import ServiceResource
 from wisteriagw.standins._usage_resource import UsageResource
 from wisteriagw.standins._vm_list_resource import VmListResource
@@ -92,6 +93,7 @@
     "Time until a change of the VMs shows in the list.",
 )
 PROGRAM_OPTIONS = {
+    "wisteriagw-standin-platform": (LISTEN,),
     "wisteriagw-standin-log": (LISTEN, RETENTION),
     "wisteriagw-standin-engine": (
         LISTEN,
@@ -174,6 +176,15 @@
     _serve("standin-vms", settings, resource)
 
 
+def run_platform() -> None:
+    """Run the stand-in of the users' platform."""
+    settings = _load("wisteriagw-standin-platform", "Stand-in for the platform.")
+    reactor.seconds = read_boot_time
+    start_logging("wisteriagw-standin-platform")
+    PlatformStandIn(reactor, settings["listen"]).start()
+    reactor.run()
+
+
 def _load(program: str, description: str) -> dict[str, Any]:
     return load_settings(program, description, PROGRAM_OPTIONS[program])
 
--- a/wisteriagw/standins/_topic_store.py
+++ b/wisteriagw/standins/_topic_store.py
@@ -38,6 +38,14 @@
         records.append(StoreRecord(len(records), key, value))
         return len(records) - 1
 
+    def get_end(self, topic: str) -> int:
+        """Return the offset after the newest record."""
+        return len(self._records.get(topic, ()))
+
+    def list_records(self, topic: str, start: int) -> list[StoreRecord]:
+        """Return the records from an offset on."""
+        return self._records.get(topic, [])[start:]
+
     def forget(self, topic: str) -> None:
         """Drop the history of a topic; the newest record of each key stays readable."""
         self._first[topic] = len(self._records.get(topic, ()))
--- /dev/null
+++ b/wisteriagw/standins/_worker_server.py
@@ -0,0 +1,100 @@
+"""Backend server stand-in, as the platform's speak."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from wisteriagw.connections import HttpRequest, Responder
+
+EVENT_SECONDS = 0.02
+WORK_SECONDS = 0.02
+EVENTS = 8
+
+
+class WorkerServer:
+    """Runs calls, reads prompts and streams events, and keeps what it ran.
+
+    Attributes
+    ----------
+    lose_answers : int
+        Requests that run and whose connection is closed then.
+    refuse : int
+        Requests that are refused without being run.
+    """
+
+    def __init__(self, reactor: Any, name: str, runs: list[list[Any]]) -> None:
+        self.lose_answers = 0
+        self.refuse = 0
+        self._reactor = reactor
+        self._name = name
+        self._runs = runs
+        self._handles = 0
+
+    def handle(self, request: HttpRequest, responder: Responder) -> None:
+        """Answer a request."""
+        find = request.find_header
+        path = request.target
+        if path == b"/order":
+            responder.reply(202)
+            return
+        if path.startswith((b"/kv-handle/", b"/kv-list", b"/health", b"/report")):
+            responder.reply(200, (), b'{"held": []}')
+            return
+        request_id = (find(b"x-wisteriagw-request-id") or b"").decode()
+        headers = [(b"x-wisteriagw-request-id", request_id.encode())]
+        if find(b"x-wisteriagw-expect-instance") != self._name.encode():
+            responder.reply(421, headers)
+            return
+        if self.refuse:
+            self.refuse -= 1
+            responder.reply(503, [*headers, (b"x-wisteriagw-not-executed", b"1")])
+            return
+        if find(b"x-wisteriagw-stage") == b"prefill":
+            self._handles += 1
+            reply = {"kv_handle": f"h{self._handles}", "tokens": 1, "version": 1}
+            responder.reply(200, headers, json.dumps(reply).encode())
+            return
+        customer = (find(b"x-wisteriagw-tenant") or b"").decode()
+        resumed = find(b"last-event-id")
+        self._runs.append([request_id, customer, self._reactor.seconds()])
+        headers.append((b"x-wisteriagw-server-stamp", f"s-{request_id}".encode()))
+        if find(b"x-wisteriagw-model") is None:
+            self._reactor.callLater(
+                WORK_SECONDS, self._finish_call, request_id, headers, responder
+            )
+            return
+        responder.start(200, [*headers, (b"content-type", b"text/event-stream")])
+        first = int(resumed) + 1 if resumed else 1
+        self._send_event(first, request_id, responder)
+
+    def _finish_call(
+        self, request_id: str, headers: list, responder: Responder
+    ) -> None:
+        if self._loses(responder):
+            return
+        responder.reply(200, headers, f"done {request_id}".encode())
+
+    def _send_event(self, number: int, request_id: str, responder: Responder) -> None:
+        if responder.ended:
+            return
+        if number > EVENTS:
+            responder.end()
+            return
+        event = f"id: {number}\ndata: {request_id}\n\n".encode()
+        if number == EVENTS // 2 and self.lose_answers:
+            responder.write(event[:7])
+            self._loses(responder)
+            return
+        responder.write(event)
+        self._reactor.callLater(
+            EVENT_SECONDS, self._send_event, number + 1, request_id, responder
+        )
+
+    def _loses(self, responder: Responder) -> bool:
+        if not self.lose_answers:
+            return False
+        self.lose_answers -= 1
+        responder.abort()
+        return True
