Estimate failures by rates that the VMs share

A server's recent failures and answers now give a rate, and the VMs tell each other the results of servers that failed lately.

--- a/tests/soak/_fleet.py
+++ b/tests/soak/_fleet.py
@@ -65,7 +65,8 @@
 
     def outReceived(self, data: bytes) -> None:
         """Keep the lines of the process."""
-        self.log.write(data)
+        if not self.log.closed:
+            self.log.write(data)
 
     errReceived = outReceived
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -174,13 +174,35 @@
         table.add("s", -500.0, -1)
         assert table.list_own() == []
 
-    def test_failure_fades_and_success_halves_it(self) -> None:
+    def test_failure_fades(self) -> None:
         table = WorkTable()
         table.note_failure("s", 0.0)
         first = table.get_suspicion("s", 0.0)
-        assert 0 < table.get_suspicion("s", 3.0) < first / 2
+        assert 0 < table.get_suspicion("s", 6.0) < first / 4
+
+    def test_server_that_fails_part_of_its_requests_stays_suspected(self) -> None:
+        table = WorkTable()
+        for number in range(60):
+            if number % 3:
+                table.note_success("s", number * 0.1)
+            else:
+                table.note_failure("s", number * 0.1)
+            table.note_success("good", number * 0.1)
+        assert table.get_suspicion("s", 6.0) > 0.5
+        assert table.get_suspicion("good", 6.0) == 0.0
+
+    def test_peers_learn_of_servers_that_fail(self) -> None:
+        table, peer = WorkTable(), WorkTable()
+        table.note_success("good", 0.0)
+        for _ in range(3):
+            table.note_failure("s", 0.0)
         table.note_success("s", 0.0)
-        assert table.get_suspicion("s", 0.0) == pytest.approx(first / 2)
+        rows = table.take_results(0.0)
+        assert rows == [("s", 3.0, 1.0)]
+        assert table.take_results(0.0) == []
+        for server, failures, answers in rows:
+            peer.note_results(server, failures, answers, 0.0)
+        assert peer.get_suspicion("s", 0.0) == table.get_suspicion("s", 0.0)
 
     def test_server_with_an_order_is_away_until_its_end(self) -> None:
         table = WorkTable()
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -255,14 +255,21 @@
         self._pool.close_address(server.address)
 
     def _send_news(self) -> None:
-        uptime = self._reactor.seconds() - self._started_at
-        news = self.context.news.take(self.is_ready(), uptime, self._work.list_own())
+        now = self._reactor.seconds()
+        news = self.context.news.take(
+            self.is_ready(),
+            now - self._started_at,
+            self._work.list_own(),
+            self._work.take_results(now),
+        )
         self._mesh.broadcast(news)
 
     def _take_news(self, sender: str, news: GatewayNews) -> None:
         now = self._reactor.seconds()
         self._work.note_peer(sender, news.work, now)
         self._copies.take(news.incarnation, news.usage)
+        for server, failures, answers in news.results:
+            self._work.note_results(server, failures, answers, now)
         for server, seconds in news.away:
             self._work.note_away(server, now + seconds)
         for server, part, tokens in news.parts:
--- a/wisteriagw/gateway/_peer_news.py
+++ b/wisteriagw/gateway/_peer_news.py
@@ -40,7 +40,11 @@
         self._away.append((server, seconds))
 
     def take(
-        self, ready: bool, uptime: float, work: list[tuple[str, float, float]]
+        self,
+        ready: bool,
+        uptime: float,
+        work: list[tuple[str, float, float]],
+        results: list[tuple[str, float, float]],
     ) -> GatewayNews:
         """Return the next message."""
         parts, self._parts = self._parts[:MAX_ROWS], self._parts[MAX_ROWS:]
@@ -54,6 +58,7 @@
             tuple(work),
             tuple(parts),
             tuple(away),
+            tuple(results),
             self._incarnation,
             uptime,
             tuple(usage),
--- a/wisteriagw/messages/_gateway_news.py
+++ b/wisteriagw/messages/_gateway_news.py
@@ -23,6 +23,9 @@
     away : tuple
         Rows of backend server and seconds for which it takes no requests, because the
         sender has ordered a change.
+    results : tuple
+        Rows of backend server, failures and answers since the last message, for
+        servers that failed lately.
     incarnation : str
         Process that sends the message.
     uptime : float
@@ -36,6 +39,7 @@
     work: tuple = ()
     parts: tuple = ()
     away: tuple = ()
+    results: tuple = ()
     incarnation: str = ""
     uptime: float = 0.0
     usage: tuple = ()
--- a/wisteriagw/placement/_work_table.py
+++ b/wisteriagw/placement/_work_table.py
@@ -5,6 +5,12 @@
 from typing import TYPE_CHECKING
 
 from wisteriagw.placement._cached_parts import CachedParts
+from wisteriagw.placement._server_health import (
+    ServerHealth,
+    add_results,
+    estimate_loss,
+    fade,
+)
 from wisteriagw.placement._server_view import ServerView
 
 if TYPE_CHECKING:
@@ -15,10 +21,9 @@
 
 # Age up to which a peer's work counts, until it is set by the rate of the messages.
 PEER_WORK_SECONDS = 1.0
-# A failure makes a server this much less attractive, and is forgiven step by step.
-FAILURE_SECONDS = 0.3
-FAILURE_HALF_LIFE_SECONDS = 1.5
-MAX_SUSPICION_SECONDS = 4.0
+# Failures below this are not worth telling the peers.
+TOLD_FAILURES = 0.05
+NO_RESULTS = ServerHealth()
 
 
 class WorkTable:
@@ -37,7 +42,8 @@
         self.parts = CachedParts()
         self._own: dict[str, list[float]] = {}
         self._peers: dict[str, tuple[float, dict[str, tuple[float, float]]]] = {}
-        self._failures: dict[str, tuple[float, float]] = {}
+        self._health: dict[str, ServerHealth] = {}
+        self._untold: dict[str, list[float]] = {}
         self._away_until: dict[str, float] = {}
 
     def add(self, server: str, tokens: float, streams: int) -> None:
@@ -65,18 +71,29 @@
 
     def note_failure(self, server: str, now: float, weight: float = 1.0) -> None:
         """Take a failure of a server."""
-        suspicion = self.get_suspicion(server, now) + FAILURE_SECONDS * weight
-        self._failures[server] = (min(suspicion, MAX_SUSPICION_SECONDS), now)
+        self.note_results(server, weight, 0.0, now)
+        self._untold.setdefault(server, [0.0, 0.0])[0] += weight
 
     def note_success(self, server: str, now: float) -> None:
-        """Take a good answer of a server, which halves what failures have added."""
-        known = self._failures.get(server)
-        if known is not None:
-            suspicion = self.get_suspicion(server, now) / 2
-            if suspicion < 0.01:
-                del self._failures[server]
-                return
-            self._failures[server] = (suspicion, now)
+        """Take a good answer of a server."""
+        self.note_results(server, 0.0, 1.0, now)
+        self._untold.setdefault(server, [0.0, 0.0])[1] += 1.0
+
+    def note_results(
+        self, server: str, failures: float, answers: float, now: float
+    ) -> None:
+        """Take results of a server, also those that a peer has told."""
+        health = self._health.get(server, NO_RESULTS)
+        self._health[server] = add_results(health, failures, answers, now)
+
+    def take_results(self, now: float) -> list[tuple[str, float, float]]:
+        """Return rows of server, failures and answers that peers have to know."""
+        untold, self._untold = self._untold, {}
+        return [
+            (server, failures, answers)
+            for server, (failures, answers) in untold.items()
+            if fade(self._health[server], now).failures > TOLD_FAILURES
+        ]
 
     def note_away(self, server: str, until: float) -> None:
         """Take that a server gets no requests until a time."""
@@ -88,17 +105,14 @@
 
     def get_suspicion(self, server: str, now: float) -> float:
         """Return the seconds that recent failures add to a server's estimate."""
-        known = self._failures.get(server)
-        if known is None:
-            return 0.0
-        suspicion, at = known
-        return suspicion * 0.5 ** ((now - at) / FAILURE_HALF_LIFE_SECONDS)
+        return estimate_loss(self._health.get(server, NO_RESULTS), now)
 
     def forget(self, server: str) -> None:
         """Drop what is known of a server that is gone or started again."""
         self.parts.forget(server)
         self._away_until.pop(server, None)
-        self._failures.pop(server, None)
+        self._health.pop(server, None)
+        self._untold.pop(server, None)
 
     def list_views(
         self, servers: Iterable[BackendServer], prompt: Prompt | None, now: float
@@ -121,9 +135,7 @@
             cached = 0
             if prompt is not None:
                 cached = self.parts.count_tokens(name, prompt.parts)
-            suspicion = 0.0
-            if name in self._failures:
-                suspicion = self.get_suspicion(name, now)
+            suspicion = self.get_suspicion(name, now)
             views.append(
                 ServerView(
                     name,
