--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -239,6 +239,22 @@
         answering.answer.take_end()
         assert responder.status == 200
 
+    def test_silent_reader_is_given_up(self) -> None:
+        world = self.build()
+        world.request("long", prompt="17000,100")
+        world.clock.advance(3.0)
+        assert world.pool.sent[0].aborted
+        assert b"x-wisteriagw-kv-source" not in world.pool.sent[1].headers
+
+    def test_busy_reader_is_waited_for(self) -> None:
+        world = self.build()
+        world.request("long", prompt="17000,100")
+        for _ in range(6):
+            world.clock.advance(0.5)
+            world.work.note_success("reader", world.clock.seconds())
+        assert not world.pool.sent[0].aborted
+        assert len(world.pool.sent) == 1
+
     def test_cache_is_freed_when_the_caller_leaves_before_it_is_taken(self) -> None:
         world = self.build()
         responder = world.request("long", prompt="17000,100")
--- a/wisteriagw/gateway/_configuration_feed.py
+++ b/wisteriagw/gateway/_configuration_feed.py
@@ -23,7 +23,7 @@
 
 # A read that waits proves the configuration as of its start, so the wait is part of its
 # age. It is short against the time in which a withdrawn key must stop to work.
-WAIT_PART = 0.25
+WAIT_PART = 0.4
 # A request with a key runs only while the configuration is younger than this part of
 # that time; the rest covers the way from the caller and to the backend server.
 FRESH_PART = 0.8
--- a/wisteriagw/gateway/_exchange.py
+++ b/wisteriagw/gateway/_exchange.py
@@ -10,6 +10,7 @@
 from wisteriagw.connections import AnswerLostError
 from wisteriagw.gateway._attempts_at_servers import AttemptsAtServers
 from wisteriagw.gateway._event_splitter import EventSplitter
+from wisteriagw.gateway._server_access import ServerAccess
 from wisteriagw.outcomes import Answering, MayHaveRun, RefusedNotRun
 from wisteriagw.platform import encode_refusal, pass_headers
 from wisteriagw.retries import Attempts, decide_retry, record_attempt
@@ -51,13 +52,13 @@
         if caller.patience is not None:
             limit = min(limit, caller.patience)
         self._deadline = self._received_at + limit
-        self._at_servers = AttemptsAtServers(
-            context, request, caller, admitted, self._received_at, self._deadline
-        )
+        access = ServerAccess(context, request, caller, admitted, self._deadline)
+        self._at_servers = AttemptsAtServers(access)
         self._attempts = Attempts()
         self._failure: tuple[AnswerHead, bytes] | None = None
         self._splitter = EventSplitter(caller.last_event)
         self._ended_by = ""
+        self._first_event_seconds = 0.0
 
     def start(self) -> None:
         """Serve the request in the background."""
@@ -222,8 +223,6 @@
         self._context.metrics.first_event.labels(kind).observe(seconds)
         self._first_event_seconds = seconds
 
-    _first_event_seconds = 0.0
-
     def _finish(self, outcome: str, status: int, reason: str = "") -> None:
         context = self._context
         kind = "stream" if self._route.streaming else "call"
--- /dev/null
+++ b/wisteriagw/gateway/_server_access.py
@@ -0,0 +1,178 @@
+"""Access of one request to the backend servers."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from twisted.internet.defer import Deferred, TimeoutError
+
+from wisteriagw.placement import choose_plan, choose_server
+from wisteriagw.platform import (
+    ForwardingTerms,
+    belongs_to,
+    encode_forwarded,
+    is_genuine,
+)
+
+if TYPE_CHECKING:
+    from wisteriagw.connections import Answer, AnswerHead, HttpRequest
+    from wisteriagw.fleet import BackendServer
+    from wisteriagw.gateway._context import GatewayContext
+    from wisteriagw.placement import Plan
+    from wisteriagw.platform import CallerRequest
+    from wisteriagw.routes import Admitted
+
+# Time kept for the way of a late answer to the caller.
+DEADLINE_MARGIN_SECONDS = 0.01
+
+
+class ServerAccess:
+    """Places a request and sends it on the terms of its route and customer.
+
+    Attributes
+    ----------
+    context : GatewayContext
+        Parts of the program.
+    caller : CallerRequest
+        What the request says.
+    route, service, customer : Route, Service and Customer or None
+        What it was admitted for.
+    deadline : float
+        Time at which its caller stops to wait.
+    """
+
+    def __init__(
+        self,
+        context: GatewayContext,
+        request: HttpRequest,
+        caller: CallerRequest,
+        admitted: Admitted,
+        deadline: float,
+    ) -> None:
+        self.context = context
+        self.caller = caller
+        self.route = admitted.route
+        self.service = admitted.service
+        self.customer = admitted.customer
+        self.deadline = deadline
+        self._request = request
+        self._request_id = caller.request_id.encode("ascii")
+        self._received_at = context.reactor.seconds()
+
+    def place(self, excluded: tuple[str, ...]) -> Plan | None:
+        """Return where the request goes, or None if no server can take it."""
+        context, prompt = self.context, self.caller.prompt
+        now = context.reactor.seconds()
+        servers = [
+            server
+            for server in context.fleet.fleet.list_service(self.service.name)
+            if not context.work.is_away(server.name, now)
+        ]
+        views = context.work.list_views(servers, prompt, now)
+        data_centre = context.settings.data_centre
+        if self.service.engine is None or prompt is None:
+            plan = choose_server(views, data_centre, excluded)
+        else:
+            plan = choose_plan(
+                prompt,
+                views,
+                context.rates.get(self.service.name),
+                self.service.engine,
+                data_centre,
+                excluded,
+            )
+        context.log.write(
+            "placement",
+            request_id=self.caller.request_id,
+            service=self.service.name,
+            candidates=len(views),
+            excluded=excluded,
+            server=plan.server if plan else "",
+            prefill=plan.prefill if plan else "",
+            fetch_from=plan.fetch_from if plan else "",
+            estimate=round(plan.seconds, 4) if plan else None,
+            fleet_age=round(now - context.fleet.follower.read_at, 3)
+            if math.isfinite(context.fleet.follower.read_at)
+            else None,
+        )
+        return plan
+
+    def build_terms(self, server: BackendServer) -> ForwardingTerms:
+        """Return the terms of an attempt at a server."""
+        priority = None
+        if self.service.engine is not None:
+            priority = self.route.priority
+            if self.customer is not None and self.customer.priority is not None:
+                priority = self.customer.priority
+        left = self.deadline - self.context.reactor.seconds()
+        return ForwardingTerms(
+            server,
+            left - DEADLINE_MARGIN_SECONDS,
+            self.customer.name if self.customer is not None else None,
+            priority,
+        )
+
+    async def send(self, terms: ForwardingTerms) -> Answer:
+        """Send the request; fails with ConnectFailedError if nothing was sent."""
+        return await self.context.pool.send(
+            terms.server.address,
+            encode_forwarded(self._request, terms),
+            lambda head: belongs_to(head, self._request_id),
+        )
+
+    async def wait_for_head(
+        self, answer: Answer, server: str, bound: float
+    ) -> AnswerHead:
+        """Return the head of an answer; fails with TimeoutError if a server is silent.
+
+        An engine that answers other requests meanwhile is busy and not silent: a prompt
+        that is taken from it has to be read again elsewhere.
+        """
+        reactor = self.context.reactor
+        while True:
+            since = reactor.seconds()
+            waiting = Deferred.fromCoroutine(answer.read_head())
+            waiting.addTimeout(bound, reactor)
+            try:
+                return await waiting
+            except TimeoutError:
+                busy = self.context.work.has_answered(server, since)
+                if self.caller.prompt is None or not busy:
+                    raise
+
+    def is_genuine(self, head: AnswerHead) -> bool:
+        """Return whether an answer was made by a backend server for the request."""
+        return is_genuine(head, self._request_id)
+
+    def find_address(self, server: str) -> tuple[str, int] | None:
+        """Return the address of a server, None if it is gone."""
+        known = self.context.fleet.fleet.servers.get(server)
+        return None if known is None else known.address
+
+    def count_waiting(self, server: BackendServer) -> float:
+        """Return the prompt tokens that wait at a server."""
+        now = self.context.reactor.seconds()
+        return self.context.work.list_views((server,), None, now)[0].waiting_tokens
+
+    def note_parts(self, server: str) -> None:
+        """Take that an engine keeps the prompt from now on."""
+        prompt, engine = self.caller.prompt, self.service.engine
+        if prompt is None or engine is None:
+            return
+        added = self.context.work.parts.note_use(
+            server, prompt.parts, engine.capacity_tokens
+        )
+        self.context.news.note_parts(server, added)
+
+    def note_failure(self, server: str, reason: str) -> None:
+        """Take that a server failed or refused the request."""
+        now = self.context.reactor.seconds()
+        self.context.work.note_failure(server, now)
+        self.context.log.write(
+            "attempt_failed",
+            request_id=self.caller.request_id,
+            server=server,
+            reason=reason,
+            seconds=round(now - self._received_at, 4),
+        )
--- a/wisteriagw/gateway/_topic_follower.py
+++ b/wisteriagw/gateway/_topic_follower.py
@@ -33,8 +33,6 @@
         whenever records were lost.
     take_records : callable
         ``take_records(records)`` gets the records that follow.
-    pace : float
-        Least seconds from one read to the next.
 
     Attributes
     ----------
@@ -44,6 +42,8 @@
         Time of the first success after failures.
     available : bool
         Whether the last call succeeded.
+    pace : float
+        Least seconds from one read to the next.
     """
 
     def __init__(
@@ -65,7 +65,7 @@
         self._wait = wait
         self._take_snapshot = take_snapshot
         self._take_records = take_records
-        self._pace = pace
+        self.pace = pace
         self._next_offset = -1
         self._running: Deferred[None] | None = None
 
@@ -93,7 +93,7 @@
             pause = MIN_PAUSE_SECONDS
             self._note_success()
             self.read_at = started
-            left = started + self._pace - self._reactor.seconds()
+            left = started + self.pace - self._reactor.seconds()
             if left > 0:
                 await deferLater(self._reactor, left)
 
--- a/wisteriagw/gateway/_usage_reporter.py
+++ b/wisteriagw/gateway/_usage_reporter.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from wisteriagw.gateway._usage_windows import UsageWindows, encode_seal
 from wisteriagw.platform import (
     USAGE_TOPIC,
     AppendConflictError,
-    StoreUnavailableError,
     is_done,
 )
 
@@ -115,11 +114,3 @@
         logger.info("usage of window %d: %s, %s", window, counts, outcome)
         if is_done(outcome):
             self._reported.add(window)
-
-
-async def run_safely(turn: Any) -> None:
-    """Run a turn of a duty; a store that is away ends only this turn."""
-    try:
-        await turn()
-    except StoreUnavailableError as error:
-        logger.info("duty waits for the store: %s", error)
--- a/wisteriagw/placement/_work_table.py
+++ b/wisteriagw/placement/_work_table.py
@@ -44,6 +44,7 @@
         self._peers: dict[str, tuple[float, dict[str, tuple[float, float]]]] = {}
         self._health: dict[str, ServerHealth] = {}
         self._untold: dict[str, list[float]] = {}
+        self._answered_at: dict[str, float] = {}
         self._away_until: dict[str, float] = {}
 
     def add(self, server: str, tokens: float, streams: int) -> None:
@@ -76,9 +77,14 @@
 
     def note_success(self, server: str, now: float) -> None:
         """Take a good answer of a server."""
+        self._answered_at[server] = now
         self.note_results(server, 0.0, 1.0, now)
         self._untold.setdefault(server, [0.0, 0.0])[1] += 1.0
 
+    def has_answered(self, server: str, since: float) -> bool:
+        """Return whether a server has given this VM a good answer since a time."""
+        return self._answered_at.get(server, float("-inf")) >= since
+
     def note_results(
         self, server: str, failures: float, answers: float, now: float
     ) -> None:
@@ -113,6 +119,7 @@
         self._away_until.pop(server, None)
         self._health.pop(server, None)
         self._untold.pop(server, None)
+        self._answered_at.pop(server, None)
 
     def list_views(
         self, servers: Iterable[BackendServer], prompt: Prompt | None, now: float
