--- a/wisteriagw/gateway/_scaler.py
+++ b/wisteriagw/gateway/_scaler.py
@@ -5,12 +5,14 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
+from wisteriagw.platform import is_done, is_refused
 from wisteriagw.spending import CentreStock, plan_stock
 
 if TYPE_CHECKING:
     from wisteriagw.gateway._authority_keeper import AuthorityKeeper
     from wisteriagw.gateway._configuration_feed import ConfigurationFeed
     from wisteriagw.gateway._fleet_feed import FleetFeed
+    from wisteriagw.outcomes import Outcome
     from wisteriagw.platform import DutyClient
     from wisteriagw.routes import Service
     from wisteriagw.spending import CentreOrder
@@ -40,6 +42,9 @@
         self._configuration = configuration
         self._fleet = fleet
         self._quiet_until: dict[tuple[str, str, bool], float] = {}
+        # When orders for reclaimable servers began to be refused, by service and data
+        # centre; None while they are accepted.
+        self._refused_since: dict[tuple[str, str], float | None] = {}
 
     async def run_turn(self) -> None:
         """Send the orders that are due, if this process holds the authority."""
@@ -52,7 +57,6 @@
             stocks = self._list_stocks(service)
             orders = plan_stock(
                 stocks,
-                service.scaling.min_servers,
                 service.scaling.max_servers,
                 service.scaling.reclaimable_price,
             )
@@ -64,10 +68,20 @@
         for server in self._fleet.fleet.list_service(service.name):
             held = counts.setdefault(server.data_centre, [0, 0])
             held[server.reclaimable] += 1
-        return [
-            CentreStock(data_centre, price, *counts.get(data_centre, (0, 0)))
-            for data_centre, price in service.scaling.prices
-        ]
+        now = self._reactor.seconds()
+        stocks = []
+        for data_centre, _ in service.scaling.prices:
+            key = (service.name, data_centre)
+            refused_at = self._refused_since.get(key)
+            stocks.append(
+                CentreStock(
+                    data_centre,
+                    *counts.get(data_centre, (0, 0)),
+                    accepted=key in self._refused_since and refused_at is None,
+                    refused_seconds=0.0 if refused_at is None else now - refused_at,
+                )
+            )
+        return stocks
 
     async def _send(self, service: Service, order: CentreOrder) -> None:
         key = (service.name, order.data_centre, order.reclaimable)
@@ -79,6 +93,14 @@
             service.name, order.data_centre, order.count, order.reclaimable, number
         )
         self._quiet_until[key] = self._reactor.seconds() + PAUSE_SECONDS
+        if order.reclaimable:
+            self._note_outcome((service.name, order.data_centre), outcome)
         logger.info(
             "order %s of %s with number %d: %s", order, service.name, number, outcome
         )
+
+    def _note_outcome(self, key: tuple[str, str], outcome: Outcome) -> None:
+        if is_done(outcome):
+            self._refused_since[key] = None
+        elif is_refused(outcome) and self._refused_since.get(key) is None:
+            self._refused_since[key] = self._reactor.seconds()
--- a/wisteriagw/platform/__init__.py
+++ b/wisteriagw/platform/__init__.py
@@ -25,7 +25,12 @@
     decode_caller_place,
     encode_addresses,
 )
-from wisteriagw.platform._duty_client import DutyClient, is_done, is_unknown
+from wisteriagw.platform._duty_client import (
+    DutyClient,
+    is_done,
+    is_refused,
+    is_unknown,
+)
 from wisteriagw.platform._engine_client import EngineClient
 from wisteriagw.platform._forwarding import encode_forwarded
 from wisteriagw.platform._forwarding_terms import ForwardingTerms
@@ -78,6 +83,7 @@
     "encode_refusal",
     "is_done",
     "is_genuine",
+    "is_refused",
     "is_unknown",
     "parse_settings",
     "pass_headers",
--- a/wisteriagw/platform/_duty_client.py
+++ b/wisteriagw/platform/_duty_client.py
@@ -15,6 +15,7 @@
 # The interface usually answers in milliseconds; a holder must not wait into the end of
 # its lease.
 DUTY_TIMEOUT_SECONDS = 0.8
+NONE_AVAILABLE = 409
 
 
 class DutyClient:
@@ -99,3 +100,8 @@
 def is_unknown(outcome: Outcome) -> bool:
     """Return whether a call may have had an effect without saying so."""
     return isinstance(outcome, MayHaveRun)
+
+
+def is_refused(outcome: Outcome) -> bool:
+    """Return whether none of the ordered servers are to be had at the moment."""
+    return isinstance(outcome, Done) and outcome.status == NONE_AVAILABLE
--- a/wisteriagw/spending/_centre_stock.py
+++ b/wisteriagw/spending/_centre_stock.py
@@ -12,13 +12,16 @@
     ----------
     data_centre : str
         Where.
-    price : float
-        Price of a dependable server per second.
     dependable, reclaimable : int
         Servers of each kind that are not leaving.
+    accepted : bool
+        Whether the last order for reclaimable servers was accepted there.
+    refused_seconds : float
+        Time since which such orders are refused; 0 if they are not.
     """
 
     data_centre: str
-    price: float
     dependable: int
     reclaimable: int
+    accepted: bool = False
+    refused_seconds: float = 0.0
--- a/wisteriagw/spending/_stock_planning.py
+++ b/wisteriagw/spending/_stock_planning.py
@@ -11,15 +11,13 @@
 
     from wisteriagw.spending._centre_stock import CentreStock
 
-# Dependable servers that stay when a data centre can be filled with reclaimable ones:
-# the platform takes all reclaimable servers of a data centre at once, and the others
-# must carry its work until new ones are up.
-KEPT_DEPENDABLE = 0
+# The platform usually has reclaimable servers again within some seconds after it took
+# them away; dependable ones in their place cost several times as much.
+FALLBACK_SECONDS = 12.0
 
 
 def plan_stock(
     stocks: Iterable[CentreStock],
-    min_servers: int,
     max_servers: int,
     reclaimable_price: float,
 ) -> list[CentreOrder]:
@@ -27,21 +25,30 @@
 
     Bursts of the traffic are shorter than the start of a server, so the stock is the
     most that the terms allow and does not follow the load. Reclaimable servers are
-    preferred while they are cheaper.
+    preferred while they are cheaper and to be had.
     """
-    orders = []
+    orders: list[CentreOrder] = []
     for stock in stocks:
         if not 0 < reclaimable_price < 1:
             if stock.dependable < max_servers:
                 orders.append(CentreOrder(stock.data_centre, False, max_servers))
             continue
-        kept = min(max(KEPT_DEPENDABLE, 0), max_servers)
-        wanted = max_servers - kept
-        if stock.dependable > kept:
-            # Both kinds together are bounded, so dependable servers leave first.
-            left = max(kept, min_servers - wanted)
-            orders.append(CentreOrder(stock.data_centre, False, left))
-        room = max_servers - stock.dependable
-        if stock.reclaimable < min(wanted, room):
-            orders.append(CentreOrder(stock.data_centre, True, min(wanted, room)))
+        orders.extend(plan_reclaimable(stock, max_servers))
+    return orders
+
+
+def plan_reclaimable(stock: CentreStock, max_servers: int) -> list[CentreOrder]:
+    """Return the orders that replace dependable servers where others are to be had."""
+    name = stock.data_centre
+    missing = stock.reclaimable < max_servers - stock.dependable
+    orders = []
+    # An order beyond the room is asked for as well where dependable servers fill it:
+    # whether it is accepted tells if they may be given back.
+    if missing or (stock.dependable and not stock.accepted):
+        orders.append(CentreOrder(name, True, max_servers))
+    if stock.dependable and stock.accepted:
+        # Both kinds together are bounded, so dependable servers leave first.
+        orders.append(CentreOrder(name, False, 0))
+    if missing and stock.refused_seconds >= FALLBACK_SECONDS:
+        orders.append(CentreOrder(name, False, max_servers - stock.reclaimable))
     return orders
