Publish the soak's configuration until it is accepted; draw its faults apart

The logs show no configuration before version 7: the first one was sent before the stand-in listened, and the soak did not look at the outcome. Faults have a random source of their own now, so a seed gives the same faults in each run.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -64,7 +64,7 @@
     end = reactor.seconds() + seconds
     running = []
     while reactor.seconds() < end:
-        await deferLater(reactor, fleet.random.uniform(*FAULT_GAP_SECONDS))
+        await deferLater(reactor, fleet.fault_random.uniform(*FAULT_GAP_SECONDS))
         running.append(Deferred.fromCoroutine(faults.inject()))
     for one in running:
         await one
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -9,6 +9,7 @@
 
 from tests.soak._fleet import CUSTOMERS, build_configuration
 from wisteriagw.connections import CallClient, ConnectionPool
+from wisteriagw.outcomes import Done
 
 # Names of the faults, with whether a process loses what it knows.
 KINDS = (
@@ -27,6 +28,7 @@
     "configuration",
 )
 MAX_SECONDS = 3.0
+PUBLISH_PAUSE_SECONDS = 0.2
 
 
 class Faults:
@@ -52,7 +54,9 @@
         """Publish the next version of the configuration."""
         self._version += 3
         body = build_configuration(self._version, customers)
-        await self.call("POST", "/configuration", body)
+        while not isinstance(await self.call("POST", "/configuration", body), Done):
+            # The stand-in does not listen yet.
+            await deferLater(self._reactor, PUBLISH_PAUSE_SECONDS)
 
     async def call(self, method: str, path: str, body: bytes = b""):
         """Call the stand-in, not through a link."""
@@ -65,7 +69,7 @@
 
     async def inject(self) -> None:
         """Inject one fault and take it back after a while."""
-        random = self._fleet.random
+        random = self._fleet.fault_random
         kind = random.choice(KINDS)
         vm = random.choice(sorted(self._fleet.fronts))
         seconds = random.uniform(0.3, MAX_SECONDS)
--- a/tests/soak/_fleet.py
+++ b/tests/soak/_fleet.py
@@ -82,7 +82,10 @@
     def __init__(self, reactor, folder: pathlib.Path, vms: int, seed: int) -> None:
         self.reactor = reactor
         self.folder = folder
-        self.random = random.Random(seed)
+        # Faults have a source of their own, so that a seed gives the same faults
+        # whatever the callers draw.
+        self.fault_random = random.Random(seed)
+        self.random = random.Random(seed + 1)
         self.closing = False
         self.children: dict[str, Child] = {}
         self.log = (folder / "log.jsonl").open("wb")
