--- a/wisteriagw/connections/_connection_pool.py
+++ b/wisteriagw/connections/_connection_pool.py
@@ -54,10 +54,6 @@
         """Return the number of connections to an address."""
         return len(self._open.get(address, ()))
 
-    def has_idle(self, address: tuple[str, int]) -> bool:
-        """Return whether a connection to an address is idle."""
-        return bool(self._idle.get(address))
-
     def close_idle(self) -> None:
         """Close connections that were idle for too long; to be called regularly."""
         now = self._reactor.seconds()
--- a/wisteriagw/placement/_work_table.py
+++ b/wisteriagw/placement/_work_table.py
@@ -59,11 +59,6 @@
         """Return the own work as rows of server, waiting tokens and streams."""
         return [(name, work[0], work[1]) for name, work in self._own.items()]
 
-    def count_own_streams(self, server: str) -> float:
-        """Return the requests of this VM on a server."""
-        work = self._own.get(server)
-        return work[1] if work else 0.0
-
     def note_peer(
         self, vm: str, rows: Iterable[tuple[str, float, float]], now: float
     ) -> None:
