Confirm the configuration only by reads that reach the tip

Cause: a read of the store gives at most 1 MB, and the follower dated the configuration by the start of each read, also of one that ended before the tip of the topic. A withdrawn key could then count as confirmed while the record of its withdrawal was still to be read, as with many large configurations in a row. Ruled out: the newest records of keyed topics, whose pages are read to the end. Test: test_read_that_ends_before_the_tip_confirms_nothing fails without it. Conclusion: the page says whether it reached the tip, and only then is a read one that confirms.

--- a/tests/test_gateway_feeds.py
+++ b/tests/test_gateway_feeds.py
@@ -123,6 +123,21 @@
         advance(self.clock, 0.5)
         assert "k2" in feed.table.customers
 
+    def test_read_that_ends_before_the_tip_confirms_nothing(self) -> None:
+        feed = self.start()
+        self.put(build_configuration(3))
+        advance(self.clock, 0.5)
+        self.store.topics.page_records = 1
+        for version in range(4, 40):
+            self.put(build_configuration(version))
+        before = feed.follower.read_at
+        advance(self.clock, 1.0)
+        assert 3 < feed.table.version < 39
+        assert feed.follower.read_at == before
+        advance(self.clock, 5.0)
+        assert feed.table.version == 39
+        assert feed.is_fresh()
+
     def test_age_counts_from_the_start_of_the_read(self) -> None:
         feed = self.start()
         self.put(build_configuration(3))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -441,6 +441,14 @@
         ]
         assert page.next_offset == 13
 
+    @pytest.mark.parametrize(("end", "at_tip"), [(9, True), (10, False)])
+    def test_read_that_ends_before_the_tip_says_so(self, end, at_tip) -> None:
+        body = struct.pack(">QQI", end, 0, 3) + b"\x01kv"
+        client = ScriptedClient(Done(200, body))
+        page = run(StoreClient(client, self.ADDRESS).read("keyed.x", 8))
+        assert page.next_offset == 9
+        assert page.at_tip is at_tip
+
     def test_removed_history_is_not_complete(self) -> None:
         store = StoreClient(
             ScriptedClient(Done(410, b'{"first_offset": 40}')), self.ADDRESS
--- a/wisteriagw/gateway/_topic_follower.py
+++ b/wisteriagw/gateway/_topic_follower.py
@@ -67,6 +67,7 @@
         self._take_records = take_records
         self.pace = pace
         self._next_offset = -1
+        self._at_tip = False
         self._running: Deferred[None] | None = None
 
     def start(self) -> None:
@@ -92,9 +93,10 @@
                 continue
             pause = MIN_PAUSE_SECONDS
             self._note_success()
-            self.read_at = started
+            if self._at_tip:
+                self.read_at = started
             left = started + self.pace - self._reactor.seconds()
-            if left > 0:
+            if left > 0 and self._at_tip:
                 await deferLater(self._reactor, left)
 
     async def _read(self) -> None:
@@ -102,6 +104,7 @@
             page = await self._store.read_newest(self.topic)
             self._take_snapshot(page.records)
             self._next_offset = page.next_offset
+            self._at_tip = True
             return
         page = await self._store.read(self.topic, self._next_offset, self._wait)
         if not page.complete:
@@ -111,6 +114,7 @@
             await self._read()
             return
         self._next_offset = page.next_offset
+        self._at_tip = page.at_tip
         if page.records:
             self._take_records(page.records)
 
--- a/wisteriagw/platform/_store_client.py
+++ b/wisteriagw/platform/_store_client.py
@@ -140,7 +140,8 @@
         position += length
         records.append(decode_record(offset, content, keyed))
         offset += 1
-    return StorePage(tuple(records), offset)
+    end, _ = BOUNDS.unpack_from(body)
+    return StorePage(tuple(records), offset, at_tip=offset >= end)
 
 
 def decode_record(offset: int, content: bytes, keyed: bool) -> StoreRecord:
--- a/wisteriagw/platform/_store_page.py
+++ b/wisteriagw/platform/_store_page.py
@@ -19,8 +19,11 @@
         Offset to read from next.
     complete : bool
         False if records before ``next_offset`` are gone and were not read.
+    at_tip : bool
+        Whether the partition had no more records at the time of the read.
     """
 
     records: tuple[StoreRecord, ...]
     next_offset: int
     complete: bool = True
+    at_tip: bool = True
--- a/wisteriagw/standins/_topic_store.py
+++ b/wisteriagw/standins/_topic_store.py
@@ -19,6 +19,8 @@
         Whether calls fail without an effect.
     lose_answers : int
         Number of appends that take effect and fail all the same.
+    page_records : int
+        Most records in the answer to a read.
     late_appends : list
         Appends that were held back by ``hold_appends``; ``apply_late`` applies them.
     """
@@ -28,6 +30,7 @@
         self.lose_answers = 0
         self.hold_appends = 0
         self.calls = 0
+        self.page_records = 10_000
         self.late_appends: list[tuple[str, list[tuple[str, bytes]], int | None]] = []
         self._records: dict[str, list[StoreRecord]] = {}
         self._first: dict[str, int] = {}
@@ -87,8 +90,10 @@
         first = self._first.get(topic, 0)
         if start < first:
             return StorePage((), first, complete=False)
-        records = tuple(self._records.get(topic, ())[start:])
-        return StorePage(records, start + len(records))
+        known = self._records.get(topic, ())
+        records = tuple(known[start : start + self.page_records])
+        end = start + len(records)
+        return StorePage(records, end, at_tip=end >= len(known))
 
     async def read_newest(self, topic: str) -> StorePage:
         """Read the newest record of each key."""
