Send news through two relays in each data centre; vouch for reads of the store

Ruled out: an even longer interval of the full mesh, which makes the work of the others on a server older than the queue that it describes; pushing configurations through relays, whose links of 5 to 100 Mbit/s they would fill. Change: each VM sends to two relays of its data centre, chosen by processor time; relays exchange sums; only relays read the configuration and the register all the time and vouch for it by a date in the clock of the VM that relies on it. Copies of usage are kept by relays, which write those of ended processes. Distant challengers of the authority read the store every five terms.

--- a/tests/soak/_fleet.py
+++ b/tests/soak/_fleet.py
@@ -36,6 +36,8 @@
 directory = "127.0.0.1:{directory}"
 [limits]
 memory_mb = 300
+cpu_share = 0.5
+cores = 2
 [bounds]
 revoke_ms = 5000
 budget_ratio = 0.2
@@ -47,6 +49,7 @@
 grace_s = 8
 drain_ms = 2000
 contact_ms = 3000
+config_apply_ms = 2000
 ttl_max_s = 5
 [platform]
 address = "127.0.0.1:{link}"
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -48,6 +48,8 @@
 directory = "10.1.0.7:8404"
 [limits]
 memory_mb = 300
+cpu_share = 0.5
+cores = 2
 [bounds]
 revoke_ms = 5000
 budget_ratio = 0.2
@@ -59,6 +61,7 @@
 grace_s = 8
 drain_ms = 2000
 contact_ms = 3000
+config_apply_ms = 2000
 ttl_max_s = 5
 [platform]
 address = "10.200.1.7:8408"
--- a/wisteriagw/gateway/_authority_keeper.py
+++ b/wisteriagw/gateway/_authority_keeper.py
@@ -29,7 +29,7 @@
 # holder soon after its term is over, the others stand in for them.
 WAIT_PART = 0.35
 PACE_PART = 0.35
-DISTANT_PACE_PART = 1.5
+DISTANT_PACE_PART = 5.0
 FIRST_CHALLENGERS = 2
 PAUSE_SECONDS = 0.2
 
@@ -106,11 +106,14 @@
     async def _pause(self, started: float) -> None:
         if self._holds():
             return
-        first = rank_names(AUTHORITY_KEY, self._list_vms())[:FIRST_CHALLENGERS]
-        part = PACE_PART if self._vm in first else DISTANT_PACE_PART
-        left = started + part * self._term - self._reactor.seconds()
-        if left > 0:
-            await deferLater(self._reactor, left)
+        while True:
+            # Ranked again after each step, because a first challenger may be lost.
+            first = rank_names(AUTHORITY_KEY, self._list_vms())[:FIRST_CHALLENGERS]
+            part = PACE_PART if self._vm in first else DISTANT_PACE_PART
+            left = started + part * self._term - self._reactor.seconds()
+            if left <= 0:
+                return
+            await deferLater(self._reactor, min(left, PACE_PART * self._term))
 
     async def _read(self) -> None:
         if self._next_offset < 0:
--- a/wisteriagw/gateway/_fleet_feed.py
+++ b/wisteriagw/gateway/_fleet_feed.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 import logging
+from collections import OrderedDict
 from typing import TYPE_CHECKING, Any
 
+import xxhash
+
 from wisteriagw.findings import Finding
 from wisteriagw.fleet import Fleet
 from wisteriagw.gateway._topic_follower import TopicFollower
-from wisteriagw.platform import REGISTER_TOPIC, decode_entry
+from wisteriagw.platform import REGISTER_TOPIC, StoreRecord, decode_entry
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from wisteriagw.fleet import BackendServer
-    from wisteriagw.platform import StoreClient, StoreRecord
+    from wisteriagw.platform import StoreClient
 
 logger = logging.getLogger(__name__)
 
@@ -26,6 +29,9 @@
 # return, says the platform. An entry that is missing may also be of a server that left,
 # which must get no request 2 s after that; the rest covers the way of a request there.
 RETURN_SECONDS = 1.7
+# Servers whose newest offset is remembered, gone ones included; late rows of peers are
+# older than this many.
+MAX_OFFSETS = 4_096
 
 
 class FleetFeed:
@@ -47,6 +53,9 @@
         self._reactor = reactor
         self._on_lost = on_lost
         self._missing: set[str] = set()
+        self._offsets: OrderedDict[str, int] = OrderedDict()
+        self._changes: list[StoreRecord] = []
+        self._digest: int | None = None
         self.follower = TopicFollower(
             reactor,
             store,
@@ -57,6 +66,31 @@
             PACE_SECONDS,
         )
 
+    def compute_digest(self) -> int:
+        """Return a digest of the entries in force."""
+        if self._digest is None:
+            rows = sorted(self.fleet.servers.values())
+            self._digest = xxhash.xxh3_64_intdigest(repr(rows).encode("utf-8"))
+        return self._digest
+
+    def take_changes(self) -> list[StoreRecord]:
+        """Return what has changed since the last call, as records."""
+        changes, self._changes = self._changes, []
+        return changes
+
+    def take_told(self, records: Iterable[StoreRecord]) -> None:
+        """Apply changes that a peer has read and decided on."""
+        for record in records:
+            if record.offset < self._offsets.get(record.key, -1):
+                continue
+            if record.value:
+                self._take_records((record,))
+                continue
+            known = self.fleet.servers.get(record.key)
+            if known is not None:
+                self._note_offset(record.key, record.offset)
+                self._drop(known)
+
     def _take_snapshot(self, records: tuple[StoreRecord, ...]) -> None:
         present = {record.key for record in records if record.value}
         for name in list(self.fleet.servers):
@@ -66,6 +100,10 @@
 
     def _take_records(self, records: tuple[StoreRecord, ...]) -> None:
         for record in records:
+            if record.offset < self._offsets.get(record.key, -1):
+                # A peer has told of something newer.
+                continue
+            self._note_offset(record.key, record.offset)
             if not record.value:
                 self._remove(record.key)
                 continue
@@ -73,9 +111,15 @@
             if isinstance(entry, Finding):
                 logger.info("%s: %s", entry.place, entry.message)
                 continue
-            self._put(entry)
+            self._put(entry, record)
+
+    def _note_offset(self, name: str, offset: int) -> None:
+        self._offsets[name] = offset
+        self._offsets.move_to_end(name)
+        if len(self._offsets) > MAX_OFFSETS:
+            self._offsets.popitem(last=False)
 
-    def _put(self, entry: BackendServer) -> None:
+    def _put(self, entry: BackendServer, record: StoreRecord) -> None:
         self._missing.discard(entry.name)
         known = self.fleet.servers.get(entry.name)
         if known is not None and known.born > entry.born:
@@ -86,6 +130,8 @@
         if known is not None and known.born != entry.born:
             self._on_lost(known)
         self.fleet.servers[entry.name] = entry
+        self._digest = None
+        self._changes.append(record)
         logger.info(
             "backend server %s of %s in %s: %s %s",
             entry.name,
@@ -116,5 +162,8 @@
 
     def _drop(self, known: BackendServer) -> None:
         del self.fleet.servers[known.name]
+        self._digest = None
+        offset = self._offsets.get(known.name, 0)
+        self._changes.append(StoreRecord(offset, known.name, b""))
         logger.info("backend server %s of %s is gone", known.name, known.service)
         self._on_lost(known)
--- a/wisteriagw/gateway/_member.py
+++ b/wisteriagw/gateway/_member.py
@@ -18,6 +18,8 @@
         Where other VMs reach it.
     incarnation : str
         Start of the process.
+    capacity : float
+        Processor cores of usual speed that the VM has.
     """
 
     vm: str
@@ -26,3 +28,4 @@
     host: str
     port: int
     incarnation: str
+    capacity: float = 0.0
--- a/wisteriagw/gateway/_members.py
+++ b/wisteriagw/gateway/_members.py
@@ -11,15 +11,9 @@
 
 from wisteriagw.gateway._member import Member
 from wisteriagw.gateway._topic_follower import TopicFollower
-from wisteriagw.mesh import PeerAddress
-from wisteriagw.messages import GatewayNews
 from wisteriagw.platform import MEMBERS_TOPIC, StoreUnavailableError
-from wisteriagw.rendezvous import rank_names
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from wisteriagw.mesh import Mesh
     from wisteriagw.platform import StoreClient, StoreRecord
 
 logger = logging.getLogger(__name__)
@@ -35,11 +29,6 @@
 class Members:
     """Registers this VM and knows which others are up.
 
-    Parameters
-    ----------
-    greet : callable
-        Called when a new process is heard and this VM shall tell it what it knows.
-
     Attributes
     ----------
     entries : dict of str to Member
@@ -52,19 +41,14 @@
         self,
         reactor: Any,
         store: StoreClient,
-        mesh: Mesh,
         own: Member,
-        greet: Callable[[], None],
     ) -> None:
         self.entries: dict[str, Member] = {own.vm: own}
         self.heard_seconds = HEARD_SECONDS
         self._reactor = reactor
         self._store = store
-        self._mesh = mesh
         self._own = own
-        self._greet = greet
         self._heard: dict[str, tuple[float, bool]] = {}
-        self._incarnations: dict[str, str] = {}
         self._started_at: dict[str, float] = {}
         self._writing: Deferred[None] | None = None
         self.follower = TopicFollower(
@@ -75,7 +59,6 @@
             self._take_snapshot,
             self._take_records,
         )
-        mesh.subscribe(GatewayNews, self._take_news)
 
     def register(self) -> None:
         """Write the own entry until the store has it, then follow the others'."""
@@ -103,8 +86,27 @@
                 heard.append(vm)
         return heard
 
+    def list_ages(self, now: float, ready: bool) -> list[tuple[str, bool, float]]:
+        """Return rows of VM, whether it takes requests, and time since it was heard."""
+        rows = [(self._own.vm, ready, 0.0)]
+        for vm in self.list_heard(now):
+            if vm != self._own.vm:
+                heard_at, is_ready = self._heard[vm]
+                rows.append((vm, is_ready, now - heard_at))
+        return rows
+
+    def note_heard(self, vm: str, ready: bool, at: float) -> None:
+        """Take that a VM was heard, by this VM or by one that tells of it."""
+        known_at, _ = self._heard.get(vm, (float("-inf"), False))
+        if at > known_at and vm != self._own.vm:
+            self._heard[vm] = (at, ready)
+
+    def note_started(self, vm: str, at: float) -> None:
+        """Take when the oldest process that a VM knows of started."""
+        self._started_at[vm] = at
+
     def find_earliest_start(self, now: float) -> float:
-        """Return when the oldest of the other processes that are heard started."""
+        """Return when the oldest of the other known processes started."""
         heard = self.list_heard(now)
         return min(
             (at for vm, at in self._started_at.items() if vm in heard), default=now
@@ -116,17 +118,6 @@
         if self._writing is not None:
             self._writing.cancel()
 
-    def _take_news(self, sender: str, news: GatewayNews) -> None:
-        now = self._reactor.seconds()
-        self._heard[sender] = (now, news.ready)
-        self._started_at[sender] = now - news.uptime
-        if self._incarnations.get(sender) != news.incarnation:
-            self._incarnations[sender] = news.incarnation
-            others = [vm for vm in self.list_heard(now) if vm != sender]
-            # One of the VMs that were there before tells the new process.
-            if rank_names(sender, others)[0] == self._own.vm:
-                self._greet()
-
     def _write(self, value: bytes) -> None:
         if self._writing is not None:
             self._writing.cancel()
@@ -164,7 +155,3 @@
                 continue
             self.entries[member.vm] = member
             logger.info("VM %s in %s is registered", member.vm, member.data_centre)
-        self._mesh.set_peers(
-            PeerAddress(member.vm, member.host, member.port)
-            for member in self.entries.values()
-        )
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -19,6 +19,7 @@
 from wisteriagw.gateway._directory_handler import ADDRESS_SECONDS, DirectoryHandler
 from wisteriagw.gateway._duties import Duties
 from wisteriagw.gateway._fleet_feed import FleetFeed
+from wisteriagw.gateway._lost_usage_writer import LostUsageWriter
 from wisteriagw.gateway._member import Member
 from wisteriagw.gateway._members import Members
 from wisteriagw.gateway._metrics import GatewayMetrics
@@ -27,6 +28,7 @@
 from wisteriagw.gateway._rates_book import RatesBook
 from wisteriagw.gateway._request_handler import RequestHandler
 from wisteriagw.gateway._retry_budgets import RetryBudgets
+from wisteriagw.gateway._usage_copies import UsageCopies
 from wisteriagw.gateway._usage_counter import UsageCounter
 from wisteriagw.gateway._usage_writer import UsageWriter
 from wisteriagw.mesh import Mesh
@@ -45,6 +47,8 @@
 
 SWEEP_SECONDS = 1.0
 DUTY_SECONDS = 0.5
+# Counts of an ended process must be in the store before its window is sealed.
+LOST_USAGE_SECONDS = 0.5
 INCARNATION_BYTES = 8
 # Before the kill that follows the signal to stop.
 EXIT_MARGIN_SECONDS = 0.7
@@ -71,17 +75,18 @@
         calls = CallClient(reactor, pool)
         store = StoreClient(calls, settings.store)
         self._mesh = Mesh(reactor, settings.vm)
-        self.context = self._build_context(store, pool, incarnation, wall_clock)
-        self._members = Members(
-            reactor,
-            store,
-            self._mesh,
-            build_member(settings, incarnation),
-            lambda: self._exchange.tell_parts(),
-        )
+        self.context = self._build_context(store, pool, wall_clock)
+        self._members = Members(reactor, store, build_member(settings, incarnation))
+        copies = UsageCopies()
         self._exchange = NewsExchange(
-            self.context, self._mesh, self._members, incarnation, self.is_ready
+            self.context,
+            self._mesh,
+            self._members,
+            copies,
+            incarnation,
+            self.is_ready,
         )
+        self._lost_usage = LostUsageWriter(store, copies)
         self._duties = Duties(
             self.context,
             calls,
@@ -129,6 +134,7 @@
             self._survey.start()
         self._exchange.start()
         self._repeat(SWEEP_SECONDS, self._sweep)
+        self._repeat(LOST_USAGE_SECONDS, self._write_lost_usage)
         self._repeat(DUTY_SECONDS, self._duties.run_turn)
         logger.info("VM %s in %s started", settings.vm, settings.data_centre)
 
@@ -167,7 +173,6 @@
         self,
         store: StoreClient,
         pool: ConnectionPool,
-        incarnation: str,
         wall_clock: Callable[[], float],
     ) -> GatewayContext:
         reactor, settings = self._reactor, self._settings
@@ -182,7 +187,7 @@
             RatesBook(),
             RetryBudgets(settings),
             usage,
-            PeerNews(incarnation, usage),
+            PeerNews(usage),
             DecisionLog(reactor.seconds),
             GatewayMetrics(),
             random.random,
@@ -217,6 +222,10 @@
         self.context.work.forget(server.name)
         self.context.pool.close_address(server.address)
 
+    def _write_lost_usage(self) -> Deferred[None]:
+        turn = self._lost_usage.run_turn(self._reactor.seconds())
+        return Deferred.fromCoroutine(turn)
+
     def _sweep(self) -> None:
         context = self.context
         context.pool.close_idle()
@@ -240,6 +249,7 @@
         host,
         port,
         incarnation,
+        settings.core_part * settings.core_speed,
     )
 
 
--- a/wisteriagw/gateway/_topic_follower.py
+++ b/wisteriagw/gateway/_topic_follower.py
@@ -44,6 +44,10 @@
         Whether the last call succeeded.
     pace : float
         Least seconds from one read to the next.
+    wait, usual_wait : float
+        Seconds for which a read waits for records, now and while no peer relies on it.
+    hold : float
+        Age up to which a read that a peer vouches for stands for an own one.
     """
 
     def __init__(
@@ -62,12 +66,17 @@
         self.topic = topic
         self._reactor = reactor
         self._store = store
-        self._wait = wait
+        self.wait = self.usual_wait = wait
+        self.hold = 0.0
+        self._vouched_at = float("-inf")
+        self._failed_at = float("-inf")
+        self._resting: Deferred[None] | None = None
         self._take_snapshot = take_snapshot
         self._take_records = take_records
         self.pace = pace
         self._next_offset = -1
         self._at_tip = False
+        self._stopping = False
         self._running: Deferred[None] | None = None
 
     def start(self) -> None:
@@ -77,13 +86,37 @@
 
     def stop(self) -> None:
         """End the reading."""
+        self._stopping = True
         if self._running is not None:
             self._running.cancel()
 
+    def vouch(self, read_at: float) -> None:
+        """Take that a peer has read the topic and that this process has the same.
+
+        Parameters
+        ----------
+        read_at : float
+            Earliest time at which the peer's read may have begun.
+        """
+        self.read_at = max(self.read_at, read_at)
+        self._vouched_at = max(self._vouched_at, read_at)
+        if read_at > self._failed_at:
+            self._note_success()
+
+    def hurry(self) -> None:
+        """Read soon, because a peer knows of something newer."""
+        self._vouched_at = float("-inf")
+        if self._resting is not None:
+            self._resting.cancel()
+
     async def _follow(self) -> None:
         pause = MIN_PAUSE_SECONDS
         while True:
             started = self._reactor.seconds()
+            held = self._vouched_at + self.hold - started
+            if held > 0:
+                await self._rest(held)
+                continue
             try:
                 await self._read()
             except StoreUnavailableError as error:
@@ -94,11 +127,21 @@
             pause = MIN_PAUSE_SECONDS
             self._note_success()
             if self._at_tip:
-                self.read_at = started
+                self.read_at = max(self.read_at, started)
             left = started + self.pace - self._reactor.seconds()
             if left > 0 and self._at_tip:
                 await deferLater(self._reactor, left)
 
+    async def _rest(self, seconds: float) -> None:
+        self._resting = deferLater(self._reactor, seconds)
+        try:
+            await self._resting
+        except CancelledError:
+            if self._stopping:
+                raise
+        finally:
+            self._resting = None
+
     async def _read(self) -> None:
         if self._next_offset < 0:
             page = await self._store.read_newest(self.topic)
@@ -106,7 +149,7 @@
             self._next_offset = page.next_offset
             self._at_tip = True
             return
-        page = await self._store.read(self.topic, self._next_offset, self._wait)
+        page = await self._store.read(self.topic, self._next_offset, self.wait)
         if not page.complete:
             logger.warning("records of %s are gone, reading its newest", self.topic)
             self._next_offset = -1
@@ -119,6 +162,7 @@
             self._take_records(page.records)
 
     def _note_failure(self, error: StoreUnavailableError) -> None:
+        self._failed_at = self._reactor.seconds()
         if self.available:
             self.available = False
             logger.warning("lost the store for %s: %s", self.topic, error)
--- a/wisteriagw/gateway/_usage_copies.py
+++ b/wisteriagw/gateway/_usage_copies.py
@@ -4,32 +4,64 @@
 
 from typing import TYPE_CHECKING
 
+from wisteriagw.gateway._usage_copy import UsageCopy
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
 # Windows older than this many are sealed.
 KEPT_WINDOWS = 6
+# A process that is silent for so long has probably ended. Its counts are totals, so
+# they do no harm if it has not.
+LOST_SECONDS = 2.0
 
 
 class UsageCopies:
     """Counts that peers have sent, so that they outlive the process that counted."""
 
     def __init__(self) -> None:
-        self._counts: dict[int, dict[str, dict[str, int]]] = {}
+        self._copies: dict[str, UsageCopy] = {}
+        self._processes: dict[str, str] = {}
 
-    def take(self, incarnation: str, rows: Iterable[tuple[int, str, int]]) -> None:
-        """Take rows of window, customer and count; a count never falls."""
+    def take(
+        self,
+        vm: str,
+        incarnation: str,
+        rows: Iterable[tuple[int, str, int]],
+        now: float,
+    ) -> None:
+        """Take rows of window, customer and count of a process that was heard."""
+        self._processes[vm] = incarnation
+        copy = self._copies.get(incarnation)
+        if copy is None:
+            copy = self._copies[incarnation] = UsageCopy(vm, incarnation)
+        copy.heard_at = now
         for window, customer, count in rows:
-            processes = self._counts.setdefault(window, {})
-            counts = processes.setdefault(incarnation, {})
-            counts[customer] = max(count, counts.get(customer, 0))
+            copy.add(window, customer, count)
 
     def get(self, window: int) -> dict[str, dict[str, int]]:
         """Return the counts of a window by process."""
-        return self._counts.get(window, {})
+        return {
+            incarnation: copy.windows[window]
+            for incarnation, copy in self._copies.items()
+            if window in copy.windows
+        }
+
+    def take_lost(self, now: float) -> list[UsageCopy]:
+        """Return the copies of processes that have ended, each state of one once."""
+        lost = []
+        for copy in self._copies.values():
+            replaced = self._processes[copy.vm] != copy.incarnation
+            if not copy.changed or not copy.windows:
+                continue
+            if replaced or now - copy.heard_at > LOST_SECONDS:
+                copy.changed = False
+                lost.append(copy)
+        return lost
 
     def prune(self, window: int) -> None:
         """Drop what lies well before a window."""
-        for known in list(self._counts):
-            if known < window - KEPT_WINDOWS:
-                del self._counts[known]
+        for incarnation, copy in list(self._copies.items()):
+            copy.prune(window - KEPT_WINDOWS)
+            if not copy.windows and self._processes[copy.vm] != incarnation:
+                del self._copies[incarnation]
--- a/wisteriagw/gateway/_usage_windows.py
+++ b/wisteriagw/gateway/_usage_windows.py
@@ -85,9 +85,11 @@
                 logger.warning("usage of the sealed window %d came late", window)
                 continue
             self._note_window(window)
-            self._writers.setdefault(window, set()).add(vm)
-            processes = self._open.setdefault(window, {})
-            processes[process] = {name: int(count) for name, count in counts.items()}
+            if not fields.get("copy", False):
+                self._writers.setdefault(window, set()).add(vm)
+            known = self._open.setdefault(window, {}).setdefault(process, {})
+            for name, count in counts.items():
+                known[name] = max(int(count), known.get(name, 0))
 
     def _note_window(self, window: int) -> None:
         if self.first is None or window < self.first:
@@ -100,8 +102,17 @@
 
 
 def encode_counts(
-    vm: str, incarnation: str, windows: Mapping[int, Mapping[str, int]]
+    vm: str,
+    incarnation: str,
+    windows: Mapping[int, Mapping[str, int]],
+    *,
+    copy: bool = False,
 ) -> bytes:
-    """Return the record of a process's counts."""
+    """Return the record of a process's counts.
+
+    A copy that another process writes does not say that the windows are complete.
+    """
     fields = {"vm": vm, "incarnation": incarnation, "windows": windows}
+    if copy:
+        fields["copy"] = True
     return json.dumps(fields).encode("utf-8")
--- a/wisteriagw/membership/__init__.py
+++ b/wisteriagw/membership/__init__.py
@@ -45,7 +45,6 @@
 )
 from wisteriagw.membership._topology import (
     choose_pair_relay,
-    choose_relays,
     is_split,
 )
 from wisteriagw.membership._updates import (
@@ -57,6 +56,7 @@
 )
 from wisteriagw.membership._vm_list_digest import compute_vm_list_digest
 from wisteriagw.membership._vm_status import VmStatus
+from wisteriagw.relays import choose_relays
 from wisteriagw.rendezvous import rank_names
 
 __all__ = [
--- a/wisteriagw/membership/_topology.py
+++ b/wisteriagw/membership/_topology.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from wisteriagw.rendezvous import rank_names
+from wisteriagw.relays import choose_relays
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -12,7 +12,6 @@
     from wisteriagw.membership._membership_state import MembershipState
 
 MAX_FULL_MESH = 16
-RELAYS_PER_DATA_CENTRE = 2
 
 
 def is_split(state: MembershipState) -> bool:
@@ -20,12 +19,6 @@
     return len(state.members) > MAX_FULL_MESH
 
 
-def choose_relays(data_centre: str, vms: Iterable[str]) -> list[str]:
-    """Return the relays among the available VMs of a data centre."""
-    ranked = rank_names(f"relay {data_centre}", vms)
-    return ranked[:RELAYS_PER_DATA_CENTRE]
-
-
 def choose_pair_relay(
     data_centre: str, other: str, data_centres: Sequence[str], vms: Iterable[str]
 ) -> str | None:
--- a/wisteriagw/mesh/_mesh.py
+++ b/wisteriagw/mesh/_mesh.py
@@ -75,6 +75,15 @@
         for vm in self._connections:
             self._send_data(vm, data)
 
+    def multicast(self, vms: Iterable[str], message: Any) -> None:
+        """Send a message to some peers."""
+        names = tuple(vms)
+        if not names:
+            return
+        data = encode_message(message)
+        for vm in names:
+            self._send_data(vm, data)
+
     def subscribe(
         self, message_type: type, handler: Callable[[str, Any], None]
     ) -> None:
--- a/wisteriagw/messages/_gateway_news.py
+++ b/wisteriagw/messages/_gateway_news.py
@@ -9,7 +9,7 @@
 
 @register_message
 class GatewayNews(NamedTuple):
-    """Sent to every peer several times a second.
+    """Sent several times a second to the relays of the sender's data centre.
 
     Attributes
     ----------
@@ -24,7 +24,7 @@
         Rows of backend server and seconds for which it takes no requests, because the
         sender has ordered a change.
     results : tuple
-        Rows of backend server, failures and answers since the last message, for
+        Rows of backend server, failures, answers and VM since the last message, for
         servers that failed lately.
     incarnation : str
         Process that sends the message.
@@ -33,6 +33,8 @@
     usage : tuple
         Rows of usage window, customer and requests that the sender began, about once
         a second.
+    sequence : int
+        Number of the message; relays name it in their answers.
     """
 
     ready: bool
@@ -43,3 +45,4 @@
     incarnation: str = ""
     uptime: float = 0.0
     usage: tuple = ()
+    sequence: int = 0
--- /dev/null
+++ b/wisteriagw/messages/_parts_news.py
@@ -0,0 +1,20 @@
+"""Mesh message: prompt parts for a process that has just started."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from wisteriagw.messages._registry import register_message
+
+
+@register_message
+class PartsNews(NamedTuple):
+    """Sent by a relay to a new process.
+
+    Attributes
+    ----------
+    parts : tuple
+        Rows of backend server, prompt part and tokens.
+    """
+
+    parts: tuple
--- a/wisteriagw/placement/_work_table.py
+++ b/wisteriagw/placement/_work_table.py
@@ -14,7 +14,7 @@
 from wisteriagw.placement._server_view import ServerView
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection, Iterable
 
     from wisteriagw.fleet import BackendServer
     from wisteriagw.placement._prompt import Prompt
@@ -59,6 +59,22 @@
         """Return the own work as rows of server, waiting tokens and streams."""
         return [(name, work[0], work[1]) for name, work in self._own.items()]
 
+    def sum_work(
+        self, now: float, peers: Collection[str] | None = None
+    ) -> list[tuple[str, float, float]]:
+        """Return the own work and that of all peers, or of some, as rows."""
+        sums = {name: list(work) for name, work in self._own.items()}
+        for vm, (read_at, rows) in self._peers.items():
+            if now - read_at >= self.peer_work_seconds:
+                continue
+            if peers is not None and vm not in peers:
+                continue
+            for name, (tokens, streams) in rows.items():
+                work = sums.setdefault(name, [0.0, 0.0])
+                work[0] += tokens
+                work[1] += streams
+        return [(name, *work) for name, work in sums.items()]
+
     def note_peer(
         self, vm: str, rows: Iterable[tuple[str, float, float]], now: float
     ) -> None:
--- a/wisteriagw/platform/_node_settings.py
+++ b/wisteriagw/platform/_node_settings.py
@@ -42,8 +42,13 @@
         Time of calm after which the platform expects its bounds to be kept.
     address_seconds : float
         Longest time for which callers keep an answer of the directory.
+    apply_seconds : float
+        Time after which a new configuration must be in force.
     memory_mb : int
         Memory above which the process is killed.
+    core_part, core_speed : float
+        Part of a processor core that the process gets, and how many times as fast as
+        usual that core is.
     """
 
     vm: str
@@ -68,4 +73,7 @@
     drain_seconds: float
     contact_seconds: float
     address_seconds: float
+    apply_seconds: float
     memory_mb: int
+    core_part: float
+    core_speed: float
--- a/wisteriagw/platform/_settings_file.py
+++ b/wisteriagw/platform/_settings_file.py
@@ -29,7 +29,10 @@
     ("bounds.drain_ms", "drain_seconds", float, MILLISECONDS),
     ("bounds.contact_ms", "contact_seconds", float, MILLISECONDS),
     ("bounds.ttl_max_s", "address_seconds", float, 1),
+    ("bounds.config_apply_ms", "apply_seconds", float, MILLISECONDS),
     ("limits.memory_mb", "memory_mb", int, 1),
+    ("limits.cpu_share", "core_part", float, 1),
+    ("limits.cores", "core_speed", float, 1),
 )
 ADDRESSES = (
     ("listen.front", "front"),
