Read members at a pace, and wait longer after refused calls

Every start of a VM woke the reads of all others, so the loss of all VMs cost calls by the square of their number; VMs that the store turned away tried for the authority five times a second. Ruled out: reads of the configuration and the register, which relays do for others. Change: members are read at most once a second by relays and every four seconds by others; a process that holds no authority waits its usual pace after a refused call; the pause of the usage writer doubles.

--- a/wisteriagw/gateway/_authority_keeper.py
+++ b/wisteriagw/gateway/_authority_keeper.py
@@ -98,7 +98,12 @@
                 logger.info("authority: %s", error)
                 # What an append without an answer did is seen by reading on.
                 behind = True
-                await deferLater(self._reactor, PAUSE_SECONDS)
+                # Only the holder, or one whose claim may have been taken, has a term to
+                # save; refused calls are priced.
+                if self._holds() or error.may_have_run:
+                    await deferLater(self._reactor, PAUSE_SECONDS)
+                else:
+                    await self._pause(started)
             except AppendConflictError:
                 logger.info("another process appended before")
                 behind = True
--- a/wisteriagw/gateway/_members.py
+++ b/wisteriagw/gateway/_members.py
@@ -20,6 +20,10 @@
 
 # Entries change only when a VM starts or ends, so reads wait for long.
 WAIT_SECONDS = 15.0
+# When all VMs start, each would read once for each other one: calls by the square of
+# their number. Relays have to know new VMs soon, the others learn from them who is up.
+RELAY_PACE_SECONDS = 1.0
+PACE_SECONDS = 4.0
 # Silence after which callers are sent elsewhere, until it is set by the rate of the
 # messages.
 HEARD_SECONDS = 1.0
@@ -58,6 +62,7 @@
             WAIT_SECONDS,
             self._take_snapshot,
             self._take_records,
+            RELAY_PACE_SECONDS,
         )
 
     def register(self) -> None:
@@ -112,6 +117,10 @@
             (at for vm, at in self._started_at.items() if vm in heard), default=now
         )
 
+    def set_acting(self, acting: bool) -> None:
+        """Read as often as a relay has to, or more rarely."""
+        self.follower.pace = RELAY_PACE_SECONDS if acting else PACE_SECONDS
+
     def stop(self) -> None:
         """End reading and writing."""
         self.follower.stop()
--- a/wisteriagw/gateway/_news_exchange.py
+++ b/wisteriagw/gateway/_news_exchange.py
@@ -108,6 +108,7 @@
         now = self._reactor.seconds()
         links = self._ties.update(now)
         set_waits(self._context, bool(links.members))
+        self._members.set_acting(links.acting)
         deltas = self._take_own_deltas(now)
         usage = self._context.news.take_usage(now)
         if links.acting:
--- a/wisteriagw/gateway/_usage_writer.py
+++ b/wisteriagw/gateway/_usage_writer.py
@@ -21,7 +21,10 @@
 
 # After the end of a window, for requests that begin at its edge.
 WRITE_DELAY_SECONDS = 0.3
+# Pause after a failed call; it doubles up to the bound, because refused calls are
+# priced too. The bound leaves several tries before a window is sealed.
 PAUSE_SECONDS = 0.3
+MAX_PAUSE_SECONDS = 1.2
 
 
 class UsageWriter:
@@ -62,6 +65,7 @@
 
     async def write(self, before: int) -> None:
         """Append the counts of all windows before one until the store has them."""
+        pause = PAUSE_SECONDS
         while True:
             windows = self._counter.list_unwritten(before)
             if not windows:
@@ -71,7 +75,8 @@
                 await self._store.append(USAGE_TOPIC, [("", value)])
             except StoreUnavailableError as error:
                 logger.info("usage is not written yet: %s", error)
-                await deferLater(self._reactor, PAUSE_SECONDS)
+                await deferLater(self._reactor, pause)
+                pause = min(2 * pause, MAX_PAUSE_SECONDS)
                 continue
             self._counter.note_written(before)
             return
--- a/wisteriagw/gateway/_vouching.py
+++ b/wisteriagw/gateway/_vouching.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from wisteriagw.gateway._fleet_feed import PACE_SECONDS
+
 if TYPE_CHECKING:
     from wisteriagw.gateway._context import GatewayContext
     from wisteriagw.messages import FleetNews
@@ -29,9 +31,11 @@
     if serving:
         configuration.wait = RELAY_WAIT_PART * settings.apply_seconds
         fleet.wait = RELAY_WAIT_PART * settings.drain_seconds
+        fleet.pace = max(PACE_SECONDS, fleet.wait)
         return
     configuration.wait = configuration.usual_wait
     fleet.wait = fleet.usual_wait
+    fleet.pace = PACE_SECONDS
 
 
 def take_vouched_reads(
