Spread the estimates of engines where news comes late

Ruled out: a shorter interval, which a relay of 21 VMs has no processor time for. Beside it, lines in the log tell when a VM relies on a relay's reads.

--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import random
+from collections import Counter
+
 import pytest
 
 from wisteriagw.fleet import BackendServer
@@ -80,6 +83,56 @@
         assert plan(SHORT, view("p", "prefill")) is None
 
 
+class TestSpread:
+    """VMs that know the same of the engines must not all send to the same one."""
+
+    VIEWS = tuple(
+        view(f"{stage}-{number}", stage)
+        for stage in ("decode", "prefill")
+        for number in range(10)
+    )
+
+    def choose_many(self, prompt: Prompt, seconds: float) -> list:
+        source = random.Random(5)
+        return [
+            choose_plan(
+                prompt,
+                self.VIEWS,
+                RATES,
+                TRAITS,
+                "north",
+                (),
+                lambda: seconds * source.random(),
+            )
+            for _ in range(200)
+        ]
+
+    def test_without_it_all_choose_the_same(self) -> None:
+        assert len({chosen.server for chosen in self.choose_many(SHORT, 0.0)}) == 1
+
+    def test_equal_engines_get_about_the_same(self) -> None:
+        answering = Counter(c.server for c in self.choose_many(SHORT, 0.05))
+        reading = Counter(c.prefill for c in self.choose_many(LONG, 0.05))
+        for counts in (answering, reading):
+            assert len(counts) == 10
+            assert max(counts.values()) < 3 * 200 / 10
+
+    def test_longer_queue_is_avoided_all_the_same(self) -> None:
+        busy = view("busy", waiting_tokens=20_000.0)
+        source = random.Random(5)
+        for _ in range(200):
+            chosen = choose_plan(
+                SHORT,
+                (busy, view("idle")),
+                RATES,
+                TRAITS,
+                "north",
+                (),
+                lambda: 0.05 * source.random(),
+            )
+            assert chosen.server == "idle"
+
+
 class TestChooseServer:
     """Plain calls must go where slots are free."""
 
--- a/wisteriagw/gateway/_news_exchange.py
+++ b/wisteriagw/gateway/_news_exchange.py
@@ -97,6 +97,7 @@
         """Send now and again after each interval."""
         self.send()
         interval = find_news_interval(self._count_peers())
+        self._context.work.spread_seconds = interval - NEWS_SECONDS
         self._context.work.peer_work_seconds = PEER_WORK_INTERVALS * interval
         patience = max(PATIENCE_SECONDS, PATIENCE_INTERVALS * interval)
         self._ties.watch.patience = patience
--- a/wisteriagw/gateway/_server_access.py
+++ b/wisteriagw/gateway/_server_access.py
@@ -81,6 +81,7 @@
                 self.service.engine,
                 data_centre,
                 excluded,
+                lambda: context.work.spread_seconds * context.draw(),
             )
         context.log.write(
             "placement",
--- a/wisteriagw/gateway/_topic_follower.py
+++ b/wisteriagw/gateway/_topic_follower.py
@@ -71,6 +71,8 @@
         self._vouched_at = float("-inf")
         self._failed_at = float("-inf")
         self._resting: Deferred[None] | None = None
+        self._relying = False
+        self._hurried = False
         self._take_snapshot = take_snapshot
         self._take_records = take_records
         self.pace = pace
@@ -106,6 +108,7 @@
     def hurry(self) -> None:
         """Read soon, because a peer knows of something newer."""
         self._vouched_at = float("-inf")
+        self._hurried = True
         if self._resting is not None:
             self._resting.cancel()
 
@@ -115,8 +118,12 @@
             started = self._reactor.seconds()
             held = self._vouched_at + self.hold - started
             if held > 0:
+                self._note_relying(True)
                 await self._rest(held)
                 continue
+            if not self._hurried:
+                self._note_relying(False)
+            self._hurried = False
             try:
                 await self._read()
             except StoreUnavailableError as error:
@@ -173,6 +180,16 @@
             self.regained_at = self._reactor.seconds()
             logger.warning("regained the store for %s", self.topic)
 
+    def _note_relying(self, relying: bool) -> None:
+        if relying != self._relying:
+            self._relying = relying
+            logger.info(
+                "relies on a relay's reads of %s"
+                if relying
+                else "no relay vouches for reads of %s any more",
+                self.topic,
+            )
+
     def _log_end(self, failure: Any) -> None:
         if not failure.check(CancelledError):
             logger.error("following %s ended: %s", self.topic, failure.getTraceback())
--- a/wisteriagw/placement/_choice.py
+++ b/wisteriagw/placement/_choice.py
@@ -8,7 +8,7 @@
 from wisteriagw.placement._plan import Plan
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from wisteriagw.placement._engine_rates import EngineRates
     from wisteriagw.placement._prompt import Prompt
@@ -32,6 +32,11 @@
 REMOTE_SECONDS = 0.002
 
 
+def draw_nothing() -> float:
+    """Return no seconds."""
+    return 0.0
+
+
 def choose_server(
     views: Iterable[ServerView], data_centre: str, excluded: tuple[str, ...] = ()
 ) -> Plan | None:
@@ -56,25 +61,34 @@
     traits: EngineTraits,
     data_centre: str,
     excluded: tuple[str, ...] = (),
+    draw_spread: Callable[[], float] = draw_nothing,
 ) -> Plan | None:
     """Return the plan with the lowest estimated time to the first event, or None.
 
     A prompt is read whole by the engine that answers, or by an engine of the prefill
     stage whose KV cache is moved to the engine that answers. Leading parts that another
     engine keeps are fetched from there.
+
+    Parameters
+    ----------
+    draw_spread : callable
+        Gives random seconds that are added to the estimate of each engine. What is
+        known of the work of other VMs is some time old, and without the spread all VMs
+        would send to the same engine until it is known to be busy.
     """
     decode: list[tuple[float, ServerView]] = []
-    prefill: list[ServerView] = []
+    prefill: list[tuple[float, ServerView]] = []
     keeper: ServerView | None = None
     for view in views:
         if keeper is None or view.cached_tokens > keeper.cached_tokens:
             keeper = view
         if view.name in excluded:
             continue
+        spread = draw_spread()
         if view.stage == "prefill":
-            prefill.append(view)
+            prefill.append((spread, view))
             continue
-        decode.append((estimate_batch_wait(view, data_centre), view))
+        decode.append((spread + estimate_batch_wait(view, data_centre), view))
     best: Plan | None = None
     rate = rates.tokens_per_second * DECODE_STAGE_FACTOR
     for wait, view in decode:
@@ -93,16 +107,16 @@
 def choose_split(
     prompt: Prompt,
     decode: list[tuple[float, ServerView]],
-    prefill: list[ServerView],
+    prefill: list[tuple[float, ServerView]],
     keeper: ServerView,
     rates: EngineRates,
     traits: EngineTraits,
 ) -> Plan:
     """Return the best plan that reads the prompt on an engine of the prefill stage."""
     best: Plan | None = None
-    for reader in prefill:
+    for spread, reader in prefill:
         plan = plan_reading(prompt, reader, keeper, rates.tokens_per_second, traits)
-        reading = plan.seconds + reader.suspicion
+        reading = spread + plan.seconds + reader.suspicion
         for wait, view in decode:
             seconds = reading + wait + rates.first_seconds + SPLIT_SECONDS
             tokens = max(0, prompt.tokens - view.cached_tokens)
--- a/wisteriagw/placement/_work_table.py
+++ b/wisteriagw/placement/_work_table.py
@@ -33,11 +33,15 @@
     ----------
     parts : CachedParts
         Prompt parts that engines are believed to keep.
+    spread_seconds : float
+        Most seconds by which estimates are spread, because the work of the peers is known
+        late.
     peer_work_seconds : float
         Age up to which a peer's work counts; older work says nothing of a queue.
     """
 
     def __init__(self) -> None:
+        self.spread_seconds = 0.0
         self.peer_work_seconds = PEER_WORK_SECONDS
         self.parts = CachedParts()
         self._own: dict[str, list[float]] = {}
