--- a/wisteriagw/placement/_work_table.py
+++ b/wisteriagw/placement/_work_table.py
@@ -34,8 +34,8 @@
     parts : CachedParts
         Prompt parts that engines are believed to keep.
     spread_seconds : float
-        Most seconds by which estimates are spread, because the work of the peers is known
-        late.
+        Most seconds by which estimates are spread, because the work of the peers is
+        known late.
     peer_work_seconds : float
         Age up to which a peer's work counts; older work says nothing of a queue.
     """
