--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -411,6 +411,21 @@
         self.run(writer, 4.5)
         assert self.read(store).sum_counts(5, {}) == {"t": 3}
 
+    @pytest.mark.parametrize("vm", ["west-1", "north-1", "north-6"])
+    def test_some_other_vm_keeps_the_counts_of_each(self, vm: str) -> None:
+        fleet = NewsFleet(SIZES)
+        fleet.advance(3.0)
+        fleet.gateways[vm].usage.count("t")
+        fleet.advance(1.5)
+        fleet.down.add(vm)
+        fleet.advance(LOST_SECONDS + 1.0)
+        found = set()
+        for name, gateway in fleet.gateways.items():
+            for copy in gateway.copies.take_lost(gateway.clock.seconds()):
+                if name != vm and copy.vm == vm:
+                    found.update(str(counts) for counts in copy.windows.values())
+        assert found == {"{'t': 1}"}
+
     def test_copy_that_is_older_than_the_own_record_changes_nothing(self) -> None:
         windows = UsageWindows()
         own = {"vm": "vm-1", "incarnation": "a", "windows": {"5": {"t": 4}}}
