Prune the copies of usage on every VM that keeps some

Cause: copies of other processes' counts were pruned only where a window is sealed, that is by the holder of the authority; a relay that never holds it kept the counts of all windows and customers for as long as it ran. Ruled out: dropping windows by the newest one that a peer names, because the time of day of a peer may be wrong. Conclusion: the memory of a relay is bounded; what is reported does not change.

--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -426,6 +426,16 @@
                     found.update(str(counts) for counts in copy.windows.values())
         assert found == {"{'t': 1}"}
 
+    def test_copies_do_not_grow(self) -> None:
+        copies = UsageCopies()
+        for window in range(50):
+            copies.take("vm-1", "a", ((window, "t", 1),), float(window))
+            copies.prune(window)
+        copies.take("vm-1", "b", ((49, "t", 1),), 50.0)
+        assert sum(bool(copies.get(window)) for window in range(50)) < 10
+        copies.prune(70)
+        assert copies.take_lost(200.0) == []
+
     def test_copy_that_is_older_than_the_own_record_changes_nothing(self) -> None:
         windows = UsageWindows()
         own = {"vm": "vm-1", "incarnation": "a", "windows": {"5": {"t": 4}}}
--- a/wisteriagw/gateway/_news_exchange.py
+++ b/wisteriagw/gateway/_news_exchange.py
@@ -119,7 +119,6 @@
         """Return the counts of a usage window by process, the own included."""
         rows = self._context.usage.list_rows(KEPT_WINDOWS)
         own = {customer: count for of, customer, count in rows if of == window}
-        self._copies.prune(window)
         return {**self._copies.get(window), self._incarnation: own}
 
     def _count_peers(self) -> int:
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -77,16 +77,16 @@
         self._mesh = Mesh(reactor, settings.vm)
         self.context = self._build_context(store, pool, wall_clock)
         self._members = Members(reactor, store, build_member(settings, incarnation))
-        copies = UsageCopies()
+        self._copies = UsageCopies()
         self._exchange = NewsExchange(
             self.context,
             self._mesh,
             self._members,
-            copies,
+            self._copies,
             incarnation,
             self.is_ready,
         )
-        self._lost_usage = LostUsageWriter(store, copies)
+        self._lost_usage = LostUsageWriter(store, self._copies)
         self._duties = Duties(
             self.context,
             calls,
@@ -229,6 +229,7 @@
     def _sweep(self) -> None:
         context = self.context
         context.pool.close_idle()
+        self._copies.prune(context.usage.get_window())
         self._front.close_idle()
         self._directory.close_idle()
         vms = len(self._members.list_heard(self._reactor.seconds()))
