--- a/wisteriagw/gateway/_authority_keeper.py
+++ b/wisteriagw/gateway/_authority_keeper.py
@@ -6,10 +6,10 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.task import deferLater
 
 from wisteriagw.authority import Grant, Turn, decide_turn, find_end
+from wisteriagw.gateway._background import start_background
 from wisteriagw.platform import (
     AUTHORITY_TOPIC,
     AppendConflictError,
@@ -20,6 +20,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from twisted.internet.defer import Deferred
+
     from wisteriagw.platform import StoreClient, StoreRecord
 
 logger = logging.getLogger(__name__)
@@ -67,8 +69,7 @@
 
     def start(self) -> None:
         """Take part until ``stop``."""
-        self._running = Deferred.fromCoroutine(self._run())
-        self._running.addErrback(self._log_end)
+        self._running = start_background(self._run(), "keeping the authority")
 
     def stop(self) -> None:
         """End taking part; the term runs out by itself."""
@@ -188,7 +189,3 @@
             return self._grant._replace(renewal=self._grant.renewal + 1)
         number = 0 if self._grant is None else self._grant.fencing_number
         return Grant(self._vm, self._incarnation, number + 1)
-
-    def _log_end(self, failure: Any) -> None:
-        if not failure.check(CancelledError):
-            logger.error("keeping the authority ended: %s", failure.getTraceback())
--- a/wisteriagw/gateway/_cache_survey.py
+++ b/wisteriagw/gateway/_cache_survey.py
@@ -5,9 +5,9 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.task import deferLater
 
+from wisteriagw.gateway._background import start_background
 from wisteriagw.rendezvous import rank_names
 
 if TYPE_CHECKING:
@@ -49,12 +49,10 @@
         self._started_at = reactor.seconds()
         self._own_vm = own_vm
         self._note_parts = note_parts
-        self._running: Deferred[None] | None = None
 
     def start(self) -> None:
         """Run once in the background."""
-        self._running = Deferred.fromCoroutine(self.run())
-        self._running.addErrback(self._log_end)
+        start_background(self.run(), "the survey of parts")
 
     async def run(self) -> None:
         """Ask those engines that fall to this VM."""
@@ -72,7 +70,3 @@
             parts = await self._engines.list_parts(server.address)
             logger.info("engine %s keeps %d prompt parts", server.name, len(parts))
             self._note_parts(server, parts)
-
-    def _log_end(self, failure: Any) -> None:
-        if not failure.check(CancelledError):
-            logger.error("the survey of parts ended: %s", failure.getTraceback())
--- a/wisteriagw/gateway/_delta_queue.py
+++ b/wisteriagw/gateway/_delta_queue.py
@@ -9,7 +9,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-# Prompt parts in one message; what is left waits for the next one.
+# Prompt parts in one message, which keeps it within the buffer of a connection; what is
+# left waits for the next one.
 MAX_ROWS = 400
 # Parts that wait beyond this are dropped; they are found again by their next use.
 MAX_WAITING = 20_000
--- a/wisteriagw/gateway/_exchange.py
+++ b/wisteriagw/gateway/_exchange.py
@@ -8,7 +8,7 @@
 from twisted.internet.defer import CancelledError, Deferred
 
 from wisteriagw.connections import AnswerLostError
-from wisteriagw.gateway._attempts_at_servers import AttemptsAtServers
+from wisteriagw.gateway._attempts_at_servers import SERVER_ERROR, AttemptsAtServers
 from wisteriagw.gateway._event_splitter import EventSplitter
 from wisteriagw.gateway._server_access import ServerAccess
 from wisteriagw.outcomes import Answering, MayHaveRun, RefusedNotRun
@@ -27,7 +27,6 @@
 # Callers follow a pause of up to a third of the time that they have left.
 RETRY_AFTER_PART = 0.25
 MAX_RETRY_AFTER_SECONDS = 0.3
-SERVER_ERROR = 500
 
 
 class Exchange:
--- a/wisteriagw/gateway/_greetings.py
+++ b/wisteriagw/gateway/_greetings.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from wisteriagw.gateway._delta_queue import MAX_ROWS
 from wisteriagw.messages import PartsNews
 
 if TYPE_CHECKING:
@@ -11,9 +12,6 @@
     from wisteriagw.mesh import Mesh
     from wisteriagw.placement import CachedParts
 
-# Rows in one message, which keeps it within the buffer of a connection.
-MAX_ROWS = 400
-
 
 class Greetings:
     """Tells a new process what engines keep, if this VM is the one to do it."""
--- a/wisteriagw/gateway/_members.py
+++ b/wisteriagw/gateway/_members.py
@@ -112,7 +112,7 @@
 
     def find_earliest_start(self, now: float) -> float:
         """Return when the oldest of the other known processes started."""
-        heard = self.list_heard(now)
+        heard = set(self.list_heard(now))
         return min(
             (at for vm, at in self._started_at.items() if vm in heard), default=now
         )
@@ -121,12 +121,6 @@
         """Read as often as a relay has to, or more rarely."""
         self.follower.pace = RELAY_PACE_SECONDS if acting else PACE_SECONDS
 
-    def stop(self) -> None:
-        """End reading and writing."""
-        self.follower.stop()
-        if self._writing is not None:
-            self._writing.cancel()
-
     def _write(self, value: bytes) -> None:
         if self._writing is not None:
             self._writing.cancel()
--- a/wisteriagw/gateway/_news_receiver.py
+++ b/wisteriagw/gateway/_news_receiver.py
@@ -78,10 +78,7 @@
         self._context.work.note_peer(sender, news.work, now)
         self._copies.take(sender, news.incarnation, news.usage, now)
         self._greetings.note_process(sender, news.incarnation)
-        deltas = Deltas(news.parts, news.away, news.results)
-        self._apply(deltas, now)
-        self._queues.for_relays.add(deltas)
-        self._queues.for_members.add(deltas)
+        self._queues.for_relays.add(self._pass_on(news, now))
 
     def _take_relay_news(self, sender: str, news: RelayNews) -> None:
         now = self._reactor.seconds()
@@ -93,9 +90,7 @@
             self._context.work.note_peer(key, news.work, now)
         self._copies.take(sender, news.incarnation, news.usage, now)
         self._greetings.note_process(sender, news.incarnation)
-        deltas = Deltas(news.parts, news.away, news.results)
-        self._apply(deltas, now)
-        self._queues.for_members.add(deltas)
+        self._pass_on(news, now)
 
     def _take_fleet_news(self, sender: str, news: FleetNews) -> None:
         now = self._reactor.seconds()
@@ -109,7 +104,7 @@
         own = found[0].work if found else self._context.work.list_own()
         self._context.work.note_peer(FLEET, subtract_work(news.work, own), now)
         if sender == links.relays[0]:
-            self._apply(Deltas(news.parts, news.away, news.results), now)
+            self._apply(news, now)
         self._context.fleet.take_told(
             StoreRecord(offset, server, value) for offset, server, value in news.entries
         )
@@ -126,7 +121,14 @@
         for vm, ready, age in rows:
             self._members.note_heard(vm, ready, now - age)
 
-    def _apply(self, deltas: Deltas, now: float) -> None:
+    def _pass_on(self, news: GatewayNews | RelayNews, now: float) -> Deltas:
+        """Apply the rows of a message and keep them for the VMs that are served."""
+        deltas = self._apply(news, now)
+        self._queues.for_members.add(deltas)
+        return deltas
+
+    def _apply(self, news: GatewayNews | RelayNews | FleetNews, now: float) -> Deltas:
+        deltas = Deltas(news.parts, news.away, news.results)
         work = self._context.work
         for server, failures, answers, origin in deltas.results:
             if origin != self._vm:
@@ -135,6 +137,7 @@
             work.note_away(server, now + seconds)
         for server, part, tokens in deltas.parts:
             self.note_parts(server, ((part, tokens),))
+        return deltas
 
 
 def subtract_work(total: Iterable[tuple], part: Iterable[tuple]) -> list[tuple]:
--- a/wisteriagw/gateway/_news_sender.py
+++ b/wisteriagw/gateway/_news_sender.py
@@ -55,8 +55,10 @@
         if links.acting:
             self._queues.for_relays.add(deltas)
             self._queues.for_members.add(deltas)
-            self._tell_relays(links, usage, now)
-            self._tell_members(links, now)
+            earliest = self._members.find_earliest_start(now)
+            oldest = now - min(self._started_at, earliest)
+            self._tell_relays(links, usage, oldest, now)
+            self._tell_members(links, oldest, now)
             deltas = Deltas()
         else:
             # What is told is read from the register by relays only.
@@ -88,13 +90,15 @@
         self._mesh.send(links.relays[0], news._replace(**deltas._asdict()))
         self._mesh.multicast(links.relays[1:], news)
 
-    def _tell_relays(self, links: Links, usage: tuple, now: float) -> None:
+    def _tell_relays(
+        self, links: Links, usage: tuple, oldest: float, now: float
+    ) -> None:
         served = self._ties.list_served(now)
         news = RelayNews(
             self._data_centre,
             True,
             self._incarnation,
-            now - self._find_oldest_start(now),
+            oldest,
             self._list_near(served, now) if self._is_list_due(now) else (),
             tuple(self._context.work.sum_work(now, served)),
             *self._queues.for_relays.take(),
@@ -103,7 +107,7 @@
         self._mesh.multicast(links.chosen, news)
         self._mesh.multicast(links.speakers, news._replace(chosen=False))
 
-    def _tell_members(self, links: Links, now: float) -> None:
+    def _tell_members(self, links: Links, oldest: float, now: float) -> None:
         deltas = self._queues.for_members.take()
         changes = self._context.fleet.take_changes()
         list_due = self._is_list_due(now)
@@ -115,7 +119,7 @@
         read_at = self._context.fleet.follower.read_at
         served = self._ties.served
         news = FleetNews(
-            now - self._find_oldest_start(now),
+            oldest,
             tuple(
                 (vm, served[vm].sequence, now - served[vm].at) for vm in links.members
             ),
@@ -140,6 +144,3 @@
             for row in self._members.list_ages(now, self._is_ready())
             if row[0] in near
         )
-
-    def _find_oldest_start(self, now: float) -> float:
-        return min(self._started_at, self._members.find_earliest_start(now))
--- a/wisteriagw/gateway/_topic_follower.py
+++ b/wisteriagw/gateway/_topic_follower.py
@@ -5,14 +5,17 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import CancelledError
 from twisted.internet.task import deferLater
 
+from wisteriagw.gateway._background import start_background
 from wisteriagw.platform import StoreUnavailableError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from twisted.internet.defer import Deferred
+
     from wisteriagw.platform import StoreClient, StoreRecord
 
 logger = logging.getLogger(__name__)
@@ -78,19 +81,10 @@
         self.pace = pace
         self._next_offset = -1
         self._at_tip = False
-        self._stopping = False
-        self._running: Deferred[None] | None = None
 
     def start(self) -> None:
-        """Follow the topic until ``stop``."""
-        self._running = Deferred.fromCoroutine(self._follow())
-        self._running.addErrback(self._log_end)
-
-    def stop(self) -> None:
-        """End the reading."""
-        self._stopping = True
-        if self._running is not None:
-            self._running.cancel()
+        """Follow the topic as long as the process runs."""
+        start_background(self._follow(), f"following {self.topic}")
 
     def vouch(self, read_at: float) -> None:
         """Take that a peer has read the topic and that this process has the same.
@@ -144,8 +138,8 @@
         try:
             await self._resting
         except CancelledError:
-            if self._stopping:
-                raise
+            # A peer knows of something newer.
+            pass
         finally:
             self._resting = None
 
@@ -189,7 +183,3 @@
                 else "no relay vouches for reads of %s any more",
                 self.topic,
             )
-
-    def _log_end(self, failure: Any) -> None:
-        if not failure.check(CancelledError):
-            logger.error("following %s ended: %s", self.topic, failure.getTraceback())
--- a/wisteriagw/gateway/_usage_writer.py
+++ b/wisteriagw/gateway/_usage_writer.py
@@ -5,9 +5,9 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.task import deferLater
 
+from wisteriagw.gateway._background import start_background
 from wisteriagw.gateway._usage_windows import encode_counts
 from wisteriagw.platform import USAGE_TOPIC, StoreUnavailableError
 
@@ -51,17 +51,10 @@
         self._incarnation = incarnation
         self._seconds = seconds
         self._wall_clock = wall_clock
-        self._running: Deferred[None] | None = None
 
     def start(self) -> None:
-        """Write until ``stop``."""
-        self._running = Deferred.fromCoroutine(self._run())
-        self._running.addErrback(self._log_end)
-
-    def stop(self) -> None:
-        """End the regular writing."""
-        if self._running is not None:
-            self._running.cancel()
+        """Write as long as the process runs."""
+        start_background(self._run(), "writing usage")
 
     async def write(self, before: int) -> None:
         """Append the counts of all windows before one until the store has them."""
@@ -88,7 +81,3 @@
             due = (window + 1) * self._seconds + WRITE_DELAY_SECONDS
             await deferLater(self._reactor, max(0.05, due - now))
             await self.write(self._counter.get_window())
-
-    def _log_end(self, failure: Any) -> None:
-        if not failure.check(CancelledError):
-            logger.error("writing usage ended: %s", failure.getTraceback())
--- a/wisteriagw/relays/_link_choice.py
+++ b/wisteriagw/relays/_link_choice.py
@@ -45,24 +45,17 @@
         is not enough: two VMs would keep each other relays for good.
     """
     vm, data_centre = own
-    ranked: dict[str, list[str]] = {}
-    probed: dict[str, list[str]] = {}
-    for name, capacities in centres.items():
-        available = [other for other in capacities if not is_silent(other)]
-        ranked[name] = choose_relays(name, available, capacities)
-        usual = choose_relays(name, capacities, capacities)
-        probed[name] = [other for other in usual if is_probed(other)]
-    own_relays = ranked.get(data_centre, [])
-    relays = tuple(other for other in own_relays if other != vm)
-    relays += tuple(probed.get(data_centre, ()))
+    own_relays, probed = rank_centre(
+        data_centre, centres.get(data_centre, {}), is_silent, is_probed
+    )
+    relays = tuple(other for other in (*own_relays, *probed) if other != vm)
     if vm not in own_relays and not served and not addressed:
         return Links(relays)
-    chosen = {
-        other
-        for names in (*ranked.values(), *probed.values())
-        for other in names
-        if other != vm
-    }
+    # Only a relay has to know those of the other data centres.
+    chosen = set(relays)
+    for name, capacities in centres.items():
+        if name != data_centre:
+            chosen.update(*rank_centre(name, capacities, is_silent, is_probed))
     answered = [other for other in speakers if other not in chosen]
     members = [
         other for other in served if other not in chosen and other not in answered
@@ -74,3 +67,18 @@
         tuple(sorted(answered)),
         tuple(sorted(members)),
     )
+
+
+def rank_centre(
+    name: str,
+    capacities: Mapping[str, float],
+    is_silent: Callable[[str], bool],
+    is_probed: Callable[[str], bool],
+) -> tuple[list[str], list[str]]:
+    """Return the relays of a data centre, and the silent ones that are tried again."""
+    available = [vm for vm in capacities if not is_silent(vm)]
+    usual = choose_relays(name, capacities, capacities)
+    return (
+        choose_relays(name, available, capacities),
+        [vm for vm in usual if is_probed(vm)],
+    )
