Bound what endless bytes of servers and callers take

Cause: h11 bounds heads, header lines, chunk extensions and trailers, but the body of an answer, an event, and the bytes behind a request in progress were kept without limit, and the search for the end of an event began again with each chunk. A caller that read nothing kept a refused connection open for good.

Change: a body that is read whole ends at the configured body limit, an event at 1 MiB; reading from a server pauses while its parts are queued, a stream waits for its caller, bytes behind a request in progress are bounded by the configured limits, and a second close aborts. Such an answer is a lost one: safe requests go elsewhere, others end with 502, streams break off visibly.

--- a/tests/support/_gateway_fixture.py
+++ b/tests/support/_gateway_fixture.py
@@ -110,6 +110,9 @@
     def write(self, data) -> None:
         self.body += data
 
+    async def wait_writable(self) -> None:
+        pass
+
     def end(self) -> None:
         self.ended = True
 
--- /dev/null
+++ b/tests/test_endless_bytes.py
@@ -0,0 +1,242 @@
+"""Tests of servers and callers that send bytes without end."""
+
+from __future__ import annotations
+
+import pytest
+from twisted.internet.defer import Deferred
+
+from tests.support._gateway_fixture import GatewayFixture
+from tests.test_connections import ClosableTransport, collect
+from wisteriagw.connections import HttpRequest, ResponseLostError, ServerFactory
+from wisteriagw.connections._client_connection import ClientConnection
+from wisteriagw.connections._response import MAX_QUEUED_BYTES
+from wisteriagw.gateway._event_splitter import MAX_EVENT_BYTES, EventSplitter
+from wisteriagw.routes import CallerLimits
+
+CHUNK = b"x" * 65_536
+# Bytes that a hostile peer sends in a test; none of it may be kept.
+SENT_BYTES = 64 * 1_048_576
+REQUEST = HttpRequest(b"GET", b"/x", ((b"host", b"a"),))
+CALL = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+class CountingTransport(ClosableTransport):
+    """Transport that counts the calls which pause and resume reading."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.paused = 0
+        self.resumed = 0
+
+    def pauseProducing(self) -> None:
+        self.paused += 1
+
+    def resumeProducing(self) -> None:
+        self.resumed += 1
+
+
+def open_response():
+    """Return a connection with a request in progress, its transport and response."""
+    connection = ClientConnection(lambda used: None, lambda closed: None)
+    transport = CountingTransport()
+    connection.makeConnection(transport)
+    return connection, transport, connection.send(REQUEST, lambda head: True)
+
+
+def feed_until_closed(connection, transport, chunk: bytes) -> int:
+    """Feed chunks until the connection is aborted; return the bytes fed."""
+    fed = 0
+    while not transport.aborted and fed < SENT_BYTES:
+        connection.dataReceived(chunk)
+        fed += len(chunk)
+    return fed
+
+
+class TestEndlessServer:
+    """A server's endless bytes must not fill the memory or delay other requests."""
+
+    @pytest.mark.parametrize(
+        "start",
+        [
+            b"",
+            b"HTTP/1.1 ",
+            b"HTTP/1.1 200 OK\r\nX-A: ",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-A: ",
+            b"HTTP/1.1 103 Early\r\nX-A: ",
+        ],
+        ids=["none", "status", "header", "extension", "trailer", "1xx header"],
+    )
+    def test_line_without_end_is_lost(self, start: bytes) -> None:
+        connection, transport, response = open_response()
+        body = collect(response.read_body())
+        connection.dataReceived(start)
+        assert feed_until_closed(connection, transport, CHUNK) <= 2 * len(CHUNK)
+        assert body[0].check(ResponseLostError)
+
+    def test_header_lines_without_end_are_lost(self) -> None:
+        connection, transport, response = open_response()
+        body = collect(response.read_body())
+        connection.dataReceived(b"HTTP/1.1 200 OK\r\n")
+        fed = feed_until_closed(connection, transport, b"X-A: b\r\n" * 1_000)
+        assert fed <= 100_000
+        assert body[0].check(ResponseLostError)
+
+    def test_informational_responses_without_end_are_not_kept(self) -> None:
+        """They end with the request; until then only the newest one is parsed."""
+        connection, _, response = open_response()
+        collect(response.read_head())
+        for _ in range(2_000):
+            connection.dataReceived(b"HTTP/1.1 103 Early\r\nX-A: b\r\n\r\n")
+        assert response.head is None
+        assert len(connection._http.trailing_data[0]) == 0
+
+    @pytest.mark.parametrize(
+        "head",
+        [
+            b"HTTP/1.1 200 OK\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+        ],
+        ids=["until close", "long length"],
+    )
+    def test_body_without_end_is_lost(self, head: bytes) -> None:
+        connection, transport, response = open_response()
+        body = collect(response.read_body(max_bytes=1_000_000))
+        connection.dataReceived(head)
+        assert feed_until_closed(connection, transport, CHUNK) <= 1_200_000
+        assert body[0].check(ResponseLostError)
+
+    def test_unread_body_pauses_reading(self) -> None:
+        connection, transport, response = open_response()
+        connection.dataReceived(b"HTTP/1.1 200 OK\r\n\r\n")
+        while not transport.paused:
+            connection.dataReceived(CHUNK)
+        assert response._queued_bytes <= MAX_QUEUED_BYTES + len(CHUNK)
+        while not transport.resumed:
+            collect(response.read_part())
+        assert response._queued_bytes <= MAX_QUEUED_BYTES
+
+    def test_event_without_end_is_lost(self) -> None:
+        splitter = EventSplitter()
+        fed = 0
+        with pytest.raises(ResponseLostError):
+            while fed < SENT_BYTES:
+                splitter.feed(CHUNK)
+                fed += len(CHUNK)
+        assert fed <= MAX_EVENT_BYTES
+
+    @pytest.mark.parametrize(("route", "retried"), [("unsafe", 0), ("safe", 1)])
+    def test_answer_is_true_and_repeatable_work_goes_elsewhere(
+        self, route: str, retried: int
+    ) -> None:
+        gateway = GatewayFixture()
+        responder = gateway.request(route)
+        first = gateway.pool.sent[0]
+        first.start(200)
+        fed = 0
+        while not first.aborted and fed < SENT_BYTES:
+            first.response.handle_part(CHUNK)
+            fed += len(CHUNK)
+        assert fed <= gateway.configuration.table.limits.max_body_bytes + len(CHUNK)
+        assert len(gateway.pool.sent) == 1 + retried
+        if retried:
+            gateway.pool.sent[1].reply(200, b"ok")
+            assert (responder.status, responder.body) == (200, b"ok")
+        else:
+            assert responder.status == 502
+
+    def test_endless_event_does_not_look_complete(self) -> None:
+        gateway = GatewayFixture()
+        responder = gateway.request("ask", prompt="300,50")
+        first = gateway.pool.sent[0]
+        first.start(200)
+        first.response.handle_part(b"id: 1\ndata: t\n\nid: 2\ndata: ")
+        for _ in range(40):
+            first.response.handle_part(CHUNK)
+        assert first.aborted and responder.aborted
+        assert responder.body == b"id: 1\ndata: t\n\n"
+
+
+class TestEndlessCaller:
+    """A caller's endless bytes must not fill the memory either."""
+
+    LIMITS = CallerLimits(max_header_bytes=8_192, max_body_bytes=100_000)
+
+    def connect(self):
+        self.received = []
+        self.now = 0.0
+        factory = ServerFactory(
+            lambda request, responder: self.received.append(responder),
+            self.LIMITS,
+            lambda: self.now,
+        )
+        connection = factory.buildProtocol(None)
+        transport = ClosableTransport()
+        connection.makeConnection(transport)
+        return factory, connection, transport
+
+    def feed(self, connection, transport, chunk: bytes) -> int:
+        fed = 0
+        while not transport.aborted and not transport.disconnecting:
+            connection.dataReceived(chunk)
+            fed += len(chunk)
+            assert fed < SENT_BYTES
+        return fed
+
+    @pytest.mark.parametrize(
+        "start",
+        [
+            b"GET /",
+            b"GET / HTTP/1.1\r\nX-A: ",
+            b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n4;",
+            b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: ",
+        ],
+        ids=["target", "header", "extension", "trailer"],
+    )
+    def test_line_without_end_is_refused(self, start: bytes) -> None:
+        _, connection, transport = self.connect()
+        connection.dataReceived(start)
+        assert self.feed(connection, transport, CHUNK) <= 2 * len(CHUNK)
+        assert self.received == []
+
+    def test_body_without_end_is_refused(self) -> None:
+        _, connection, transport = self.connect()
+        connection.dataReceived(
+            b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        chunk = b"10000\r\n" + CHUNK + b"\r\n"
+        assert self.feed(connection, transport, chunk) <= 3 * len(chunk)
+
+    def test_bytes_behind_a_request_in_progress_are_bounded(self) -> None:
+        _, connection, transport = self.connect()
+        connection.dataReceived(CALL)
+        assert self.feed(connection, transport, CHUNK) <= 4 * len(CHUNK)
+
+    def test_pipelined_requests_within_the_limits_are_served(self) -> None:
+        _, connection, transport = self.connect()
+        connection.dataReceived(CALL * 20)
+        while self.received:
+            self.received.pop(0).reply(200)
+        assert transport.value().count(b"HTTP/1.1 200") == 20
+
+    def test_refused_caller_that_reads_nothing_is_aborted(self) -> None:
+        """A close that waits for pending writes would never end."""
+        factory, connection, transport = self.connect()
+        connection.dataReceived(b"\x16\x03 nothing\r\n\r\n")
+        assert not transport.aborted
+        self.now = self.LIMITS.idle_timeout + self.LIMITS.header_timeout + 1
+        factory.close_idle()
+        assert transport.aborted
+
+    def test_stream_waits_for_a_caller_that_does_not_read(self) -> None:
+        _, connection, transport = self.connect()
+        connection.dataReceived(CALL)
+        responder = self.received[0]
+        responder.start(200, ())
+        connection.pauseProducing()
+        waiting = Deferred.fromCoroutine(responder.wait_writable())
+        assert not waiting.called
+        connection.resumeProducing()
+        assert waiting.called
+        responder.end()
+        assert transport.producer is None
--- a/wisteriagw/connections/_client_connection.py
+++ b/wisteriagw/connections/_client_connection.py
@@ -62,7 +62,7 @@
         self, request: HttpRequest, accepts: Callable[[ResponseHead], bool]
     ) -> Response:
         """Send a request and return its response."""
-        self.response = Response(accepts, self.close)
+        self.response = Response(accepts, self.close, self._set_reading)
         self._request = h11.Request(
             method=request.method, target=request.target, headers=request.headers
         )
@@ -120,6 +120,14 @@
         if found:
             self.idle_seconds = int(found[1]) * IDLE_TIMEOUT_FRACTION
 
+    def _set_reading(self, reading: bool) -> None:
+        if self.closed:
+            return
+        if reading:
+            self.transport.resumeProducing()
+        else:
+            self.transport.pauseProducing()
+
     def _encode(self, body: bytes) -> bytes:
         data = self._http.send(self._request)
         if body:
--- a/wisteriagw/connections/_responder.py
+++ b/wisteriagw/connections/_responder.py
@@ -42,6 +42,11 @@
         if not self.ended and data:
             self._connection.write_data(data)
 
+    async def wait_writable(self) -> None:
+        """Wait until the caller has received most of what was written."""
+        if not self.ended:
+            await self._connection.wait_writable()
+
     def end(self) -> None:
         """End the response."""
         if not self.ended:
--- a/wisteriagw/connections/_response.py
+++ b/wisteriagw/connections/_response.py
@@ -14,6 +14,12 @@
 
     from wisteriagw.connections._response_head import ResponseHead
 
+# Reading from the connection is paused while more than this is queued.
+MAX_QUEUED_BYTES = 262_144
+# Default limit for a body that is read as a whole; no call of the platform has one of
+# this size.
+MAX_BODY_BYTES = 8_388_608
+
 
 class Response:
     """Response that is being received: its head, then the parts of its body.
@@ -28,12 +34,18 @@
     """
 
     def __init__(
-        self, accepts: Callable[[ResponseHead], bool], abort: Callable[[], None]
+        self,
+        accepts: Callable[[ResponseHead], bool],
+        abort: Callable[[], None],
+        set_reading: Callable[[bool], None] = lambda reading: None,
     ) -> None:
         self.head: ResponseHead | None = None
         self.accepts = accepts
         self.ended = False
         self._abort = abort
+        self._set_reading = set_reading
+        self._queued_bytes = 0
+        self._paused = False
         self._parts: deque[bytes] = deque()
         self._error: Exception | None = None
         self._waiting: Deferred[None] | None = None
@@ -57,15 +69,29 @@
             if self._error is not None:
                 raise self._error
             await self._wait()
-        return self._parts.popleft()
-
-    async def read_body(self) -> bytes:
-        """Return the rest of the body."""
+        part = self._parts.popleft()
+        self._queued_bytes -= len(part)
+        if self._paused and self._queued_bytes <= MAX_QUEUED_BYTES:
+            self._paused = False
+            self._set_reading(True)
+        return part
+
+    async def read_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
+        """Return the rest of the body.
+
+        Raises ResponseLostError, and closes the connection, if it is larger than
+        ``max_bytes``: the server may send without end.
+        """
         parts = []
+        size = 0
         while True:
             part = await self.read_part()
             if part is None:
                 return b"".join(parts)
+            size += len(part)
+            if size > max_bytes:
+                self.abort()
+                raise ResponseLostError(f"body exceeds {max_bytes} bytes")
             parts.append(part)
 
     def abort(self) -> None:
@@ -81,6 +107,10 @@
     def handle_part(self, data: bytes) -> None:
         """Queue a part of the body received by the connection."""
         self._parts.append(data)
+        self._queued_bytes += len(data)
+        if not self._paused and self._queued_bytes > MAX_QUEUED_BYTES:
+            self._paused = True
+            self._set_reading(False)
         self._wake()
 
     def handle_end(self) -> None:
--- a/wisteriagw/connections/_server_connection.py
+++ b/wisteriagw/connections/_server_connection.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 import h11
+from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Protocol
 
 from wisteriagw.connections._http_request import HttpRequest
@@ -42,6 +43,10 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._refused = False
+        self._closing = False
+        self._streaming = False
+        self._writing_paused = False
+        self._waiting_writer: Deferred[None] | None = None
 
     def connectionMade(self) -> None:
         """Register the connection and disable Nagle's algorithm."""
@@ -57,16 +62,30 @@
             if self.responder is None:
                 self.waiting_since = self._server.clock()
         self._http.receive_data(data)
+        if self.responder is not None and self._is_buffer_full():
+            # The requests that follow the one in progress are kept unread; a caller
+            # may send bytes without end.
+            self.transport.abortConnection()
+            return
         self._read_events()
 
     def connectionLost(self, reason: Failure) -> None:
         """Notify the request in progress that its caller disconnected."""
         self._server.connections.discard(self)
+        self.resumeProducing()
         if self.responder is not None:
             self.responder.handle_disconnect()
 
     def close(self) -> None:
-        """Close after all pending writes have been sent."""
+        """Close after all pending writes have been sent.
+
+        Aborts if that was requested before: the caller does not read them.
+        """
+        if self._closing:
+            self.transport.abortConnection()
+            return
+        self._closing = True
+        self._end_streaming()
         self.transport.loseConnection()
 
     def abort(self) -> None:
@@ -79,8 +98,32 @@
         if self._server.closing:
             headers = (*headers, (b"connection", b"close"))
         event = h11.Response(status_code=status, headers=headers)
+        if not any(name == b"content-length" for name, _ in headers):
+            # The length of a stream is unknown: its writer waits for a slow caller.
+            self._streaming = True
+            self.transport.registerProducer(self, True)
         self.transport.write(self._http.send(event))
 
+    def pauseProducing(self) -> None:
+        """Note that the transport's write buffer is full."""
+        self._writing_paused = True
+
+    def resumeProducing(self) -> None:
+        """Note that the transport's write buffer is empty again."""
+        self._writing_paused = False
+        waiting, self._waiting_writer = self._waiting_writer, None
+        if waiting is not None and not waiting.called:
+            waiting.callback(None)
+
+    def stopProducing(self) -> None:
+        """Do nothing; the loss of the connection ends the response."""
+
+    async def wait_writable(self) -> None:
+        """Wait while the transport's write buffer is full."""
+        while self._writing_paused:
+            self._waiting_writer = Deferred()
+            await self._waiting_writer
+
     def write_data(self, data: bytes) -> None:
         """Write a part of a response's body."""
         self.transport.write(self._http.send(h11.Data(data=data)))
@@ -88,6 +131,7 @@
     def write_end(self) -> None:
         """End a response and read the next request."""
         self.transport.write(self._http.send(h11.EndOfMessage()))
+        self._end_streaming()
         self.responder = None
         self.waiting_since = self._server.clock()
         if self._http.our_state is not h11.DONE:
@@ -134,6 +178,16 @@
         self._body = []
         self._server.handle(request, self.responder)
 
+    def _end_streaming(self) -> None:
+        if self._streaming:
+            self._streaming = False
+            self.transport.unregisterProducer()
+
+    def _is_buffer_full(self) -> bool:
+        limits = self._server.limits
+        unread, _ = self._http.trailing_data
+        return len(unread) > limits.max_header_bytes + limits.max_body_bytes
+
     def _read_events(self) -> None:
         while not self._refused:
             try:
--- a/wisteriagw/gateway/_event_splitter.py
+++ b/wisteriagw/gateway/_event_splitter.py
@@ -4,8 +4,14 @@
 
 import re
 
+from wisteriagw.connections import ResponseLostError
+
 EVENT_ID = re.compile(rb"^id:\s*(\d+)", re.MULTILINE)
 EVENT_END = re.compile(rb"\r?\n\r?\n")
+# The end of an event may begin this many bytes before the chunk that completes it.
+MAX_EVENT_END_BYTES = 4
+# A server may send an event without end; tokens need a tiny part of this.
+MAX_EVENT_BYTES = 1_048_576
 
 
 class EventSplitter:
@@ -22,11 +28,15 @@
         self._buffer = b""
 
     def feed(self, data: bytes) -> bytes:
-        """Return the events that a chunk completes, without those passed on before."""
+        """Return the events that a chunk completes, without those passed on before.
+
+        Raises ResponseLostError if an event exceeds ``MAX_EVENT_BYTES``.
+        """
+        searched = max(0, len(self._buffer) - MAX_EVENT_END_BYTES)
         self._buffer += data
         end = 0
         complete: list[bytes] = []
-        for match in EVENT_END.finditer(self._buffer):
+        for match in EVENT_END.finditer(self._buffer, searched):
             event = self._buffer[end : match.end()]
             end = match.end()
             id_match = EVENT_ID.search(event)
@@ -37,6 +47,8 @@
                 self.last_id = number
             complete.append(event)
         self._buffer = self._buffer[end:]
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise ResponseLostError(f"event exceeds {MAX_EVENT_BYTES} bytes")
         return b"".join(complete)
 
     def pop_incomplete(self) -> bytes:
--- a/wisteriagw/gateway/_request_exchange.py
+++ b/wisteriagw/gateway/_request_exchange.py
@@ -127,7 +127,8 @@
         try:
             if self._route.streaming and head.status == 200:
                 return await self._forward_stream(outcome)
-            body = await response.read_body()
+            limits = self._context.configuration.table.limits
+            body = await response.read_body(limits.max_body_bytes)
         except ResponseLostError as error:
             self._forwarder.record_failure(str(error))
             return MayHaveRun(str(error))
@@ -156,6 +157,7 @@
                 self._record_first_event()
                 responder.start(outcome.head.status, filter_headers(outcome.head))
             responder.write(events)
+            await responder.wait_writable()
         if not responder.started:
             responder.start(outcome.head.status, filter_headers(outcome.head))
         responder.write(self._splitter.pop_incomplete())
