Let the retries of a whole window serve one burst

It saved 2.6 retries for a burst, although the platform counts in windows of 10 s and nothing had been retried for seconds.

Change: a VM counts its requests and retries of the sliding window and may use its share of the platform's allowance at any moment of it. The fraction of the allowance that is used (0.6) and the bound of the sum over all VMs are as before.

Test: TestRetryBudgets.test_unused_retries_of_a_window_serve_a_burst; the bound for 1, 7 and 84 VMs holds (test_window_of_all_vms).

--- a/tests/test_gateway_feeds.py
+++ b/tests/test_gateway_feeds.py
@@ -371,6 +371,20 @@
         allowed = SETTINGS.retry_ratio * 100 * vms + SETTINGS.retry_allowance
         assert sent * vms <= max(allowed, vms * 21)
 
+    def test_unused_retries_of_a_window_serve_a_burst(self) -> None:
+        """Load: after calm seconds an engine is lost with all its open streams."""
+        budgets = RetryBudgets(SETTINGS)
+        budgets.set_vm_count(6)
+        for number in range(90):
+            budgets.count_request("lm", number * 0.1)
+        sent = 0
+        while budgets.get("lm", 9.0).retries >= 1:
+            budgets.consume("lm", 9.0)
+            sent += 1
+        assert sent >= 0.5 * (SETTINGS.retry_ratio * 90 + SETTINGS.retry_allowance / 6)
+        assert budgets.get("lm", 18.9).retries < 1
+        assert budgets.get("lm", 19.1).retries >= 1
+
     def test_services_have_budgets_of_their_own(self) -> None:
         budgets = RetryBudgets(SETTINGS)
         while budgets.get("lm", 0.0).retries >= 1:
--- a/wisteriagw/gateway/_retry_budgets.py
+++ b/wisteriagw/gateway/_retry_budgets.py
@@ -4,21 +4,17 @@
 
 from typing import TYPE_CHECKING
 
-from wisteriagw.retries import (
-    RetryTerms,
-    build_budget,
-    consume_retry,
-    count_request,
-    refill,
-)
+from wisteriagw.retries import RetryBudget, RetryTerms, RetryWindow
 
 if TYPE_CHECKING:
     from wisteriagw.platform import NodeSettings
-    from wisteriagw.retries import RetryBudget
 
-# The platform counts in sliding windows and the number of VMs changes, so only this
-# fraction of its allowance is used.
+# The number of VMs changes, and the requests of a window at the platform differ from
+# those of a window here, so only this fraction of the platform's allowance is used.
 ALLOWANCE_FRACTION = 0.6
+# The share of a VM allows at least this many retries in a window, or the VMs of a large
+# deployment could never send one.
+MIN_RETRIES = 1.0
 
 
 class RetryBudgets:
@@ -29,37 +25,32 @@
 
     def __init__(self, settings: NodeSettings) -> None:
         self._settings = settings
-        self._budgets: dict[str, RetryBudget] = {}
-        self._terms = RetryTerms()
+        self._windows: dict[str, RetryWindow] = {}
+        self._constant = MIN_RETRIES
         self.set_vm_count(1)
 
     def set_vm_count(self, count: int) -> None:
         """Set the number of VMs that share the allowance."""
-        settings = self._settings
-        share = ALLOWANCE_FRACTION * settings.retry_allowance / max(1, count)
-        # Half may be saved for a burst, the other half accrues over the window.
-        terms = RetryTerms(
-            per_request=ALLOWANCE_FRACTION * settings.retry_ratio,
-            per_second=share / 2 / settings.retry_window,
-            max_saved=max(1.0, share / 2),
-        )
-        if terms == self._terms:
-            return
-        self._terms = terms
-        for service, budget in self._budgets.items():
-            self._budgets[service] = budget._replace(terms=terms)
+        share = ALLOWANCE_FRACTION * self._settings.retry_allowance / max(1, count)
+        self._constant = max(MIN_RETRIES, share)
 
     def get(self, service: str, now: float) -> RetryBudget:
         """Return the budget of a service."""
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = build_budget(now, self._terms)
-        return refill(budget, now)
+        remaining = self._get_window(service).compute_remaining(
+            ALLOWANCE_FRACTION * self._settings.retry_ratio, self._constant, now
+        )
+        return RetryBudget(remaining, now, RetryTerms(0.0, 0.0, max(0.0, remaining)))
 
     def count_request(self, service: str, now: float) -> None:
         """Add the retries that a new request earns."""
-        self._budgets[service] = count_request(self.get(service, now))
+        self._get_window(service).count_request(now)
 
     def consume(self, service: str, now: float) -> None:
         """Subtract one retry from the budget of a service."""
-        self._budgets[service] = consume_retry(self.get(service, now))
+        self._get_window(service).count_retry(now)
+
+    def _get_window(self, service: str) -> RetryWindow:
+        window = self._windows.get(service)
+        if window is None:
+            window = self._windows[service] = RetryWindow(self._settings.retry_window)
+        return window
--- a/wisteriagw/retries/__init__.py
+++ b/wisteriagw/retries/__init__.py
@@ -13,6 +13,7 @@
 )
 from wisteriagw.retries._retry_decision import RetryDecision
 from wisteriagw.retries._retry_terms import RetryTerms
+from wisteriagw.retries._retry_window import RetryWindow
 from wisteriagw.retries._stream_decision import decide_stream_step
 from wisteriagw.retries._stream_loss import StreamLoss
 from wisteriagw.retries._stream_step import StreamStep
@@ -22,6 +23,7 @@
     "RetryBudget",
     "RetryDecision",
     "RetryTerms",
+    "RetryWindow",
     "StreamLoss",
     "StreamStep",
     "build_budget",
