Continue streams that no other run may resume from a copy

Change: while such a stream runs, its engine copies its KV cache to another one of the same data centre (rendezvous hash of the request), which continues the same run after the last whole event when the first is lost, within the retry budget. An engine that is silent for four times the allowed pause is checked by a connection: only one that accepts none has lost its runs. If no server is left after a stream has started, it breaks off instead of being refused on the same connection, and a call that may have run is not answered 503.

--- a/tests/support/_gateway_fixture.py
+++ b/tests/support/_gateway_fixture.py
@@ -83,6 +83,7 @@
     def __init__(self) -> None:
         self.sent: list[SentRequest] = []
         self.unreachable: set = set()
+        self.checked: list = []
 
     async def send(self, address, request, accepts, connect_timeout=0.5):
         if address in self.unreachable:
@@ -91,6 +92,10 @@
         self.sent.append(sent)
         return sent.response
 
+    async def is_reachable(self, address) -> bool:
+        self.checked.append(address)
+        return address not in self.unreachable
+
 
 class RecordingResponder:
     """Records the answer to a caller's request."""
--- a/wisteriagw/connections/_connection_pool.py
+++ b/wisteriagw/connections/_connection_pool.py
@@ -51,6 +51,15 @@
             connection = await self._connect(address, connect_timeout)
         return connection.send(request, accepts)
 
+    async def is_reachable(self, address: tuple[str, int]) -> bool:
+        """Return whether an address accepts a new connection, which is then kept."""
+        try:
+            connection = await self._connect(address, CONNECT_TIMEOUT_SECONDS)
+        except ConnectFailedError:
+            return False
+        self._release(address, connection)
+        return True
+
     def count_open(self, address: tuple[str, int]) -> int:
         """Return the number of connections to an address."""
         return len(self._open.get(address, ()))
--- a/wisteriagw/gateway/_request_exchange.py
+++ b/wisteriagw/gateway/_request_exchange.py
@@ -59,6 +59,7 @@
         self._attempts = Attempts()
         self._error_answer: tuple[ResponseHead, bytes] | None = None
         self._splitter = EventSplitter(caller.last_event)
+        self._continuing = False
         self._end_reason = ""
         self._first_event_seconds = 0.0
 
@@ -78,17 +79,20 @@
         self._running.cancel()
 
     async def _serve(self) -> None:
+        forwarder = self._forwarder
         while True:
-            outcome = await self._forwarder.attempt(
-                self._attempts.excluded, self._splitter.last_id
-            )
+            last_event = self._splitter.last_id
+            if self._continuing:
+                outcome = await forwarder.continue_run(last_event)
+            else:
+                outcome = await forwarder.attempt(self._attempts.excluded, last_event)
             server = self._forwarder.server
             if isinstance(outcome, Answering):
                 outcome = await self._forward_answer(outcome)
                 if outcome is None:
                     return
             if server == "":
-                self._refuse(503, "no_backend_server", str(outcome))
+                self._answer_failure(outcome, "no_backend_server")
                 return
             self._attempts = record_attempt(self._attempts, server, outcome)
             if not self._should_retry(outcome):
@@ -98,13 +102,17 @@
     def _should_retry(self, outcome: Outcome) -> bool:
         context, service = self._context, self._service.name
         now = context.reactor.seconds()
-        if len(self._attempts.excluded) >= self._route.max_attempts:
-            return False
-        if self._responder.started and not self._route.resumable:
-            return False
+        lost = isinstance(outcome, MayHaveRun)
+        self._continuing = lost and self._forwarder.has_backup()
+        # A run that goes on from a copy of its KV cache is not another attempt.
+        if not self._continuing:
+            if len(self._attempts.excluded) >= self._route.max_attempts:
+                return False
+            if self._responder.started and not self._route.resumable:
+                return False
         decision = decide_retry(
             outcome,
-            self._route.repeatable,
+            self._route.repeatable or self._continuing,
             context.budgets.get(service, now),
             self._deadline,
             now,
@@ -114,6 +122,7 @@
             request_id=self._caller.request_id,
             service=service,
             after=self._attempts.excluded,
+            continuing=self._continuing,
             retry=decision.retry,
             reason=decision.reason,
         )
@@ -145,13 +154,15 @@
         responder, response = self._responder, outcome.response
         # The continued stream repeats the event that was cut, so drop its fragment.
         self._splitter.pop_incomplete()
+        progress_at = self._context.reactor.seconds()
         while True:
-            part = await response.read_part()
+            part = await self._forwarder.read_part(response, progress_at)
             if part is None:
                 break
             events = self._splitter.feed(part)
             if not events:
                 continue
+            progress_at = self._context.reactor.seconds()
             self._forwarder.record_first_event()
             if not responder.started:
                 self._record_first_event()
@@ -175,7 +186,7 @@
             "done" if head.status < MIN_SERVER_ERROR_STATUS else "failed", head.status
         )
 
-    def _answer_failure(self, outcome: Outcome) -> None:
+    def _answer_failure(self, outcome: Outcome, code: str = "not_reached") -> None:
         if self._responder.started:
             self._responder.abort()
             self._finish("broken_off", 0, str(outcome))
--- a/wisteriagw/gateway/_request_forwarder.py
+++ b/wisteriagw/gateway/_request_forwarder.py
@@ -7,16 +7,18 @@
 from twisted.internet.defer import TimeoutError
 
 from wisteriagw.connections import ConnectFailedError, ResponseLostError
+from wisteriagw.gateway._loss_detector import LossDetector
 from wisteriagw.gateway._prompt_prefill import PromptPrefill
 from wisteriagw.gateway._work_reservation import WorkReservation
 from wisteriagw.outcomes import Answering, FailedNotRun, MayHaveRun, RefusedNotRun
+from wisteriagw.placement import Plan
 from wisteriagw.platform import reports_not_run
 
 if TYPE_CHECKING:
     from wisteriagw.connections import Response, ResponseHead
+    from wisteriagw.fleet import BackendServer
     from wisteriagw.gateway._server_access import ServerAccess
     from wisteriagw.outcomes import Outcome
-    from wisteriagw.placement import Plan
     from wisteriagw.platform import ForwardingTerms
 
 # Timeout for the head of the answer to a repeatable request, in multiples of the
@@ -48,11 +50,14 @@
         self.in_flight = False
         self._access = access
         self._prefill = PromptPrefill(access)
+        self._detector = LossDetector(access)
         self._response: Response | None = None
         self._reservation: WorkReservation | None = None
         self._usage_counted = False
         self._sent_at = 0.0
+        self._running_since: float | None = None
         self._expected_tokens = 0.0
+        self._backup: BackendServer | None = None
 
     async def attempt(
         self, excluded: tuple[str, ...], last_event: int | None
@@ -72,18 +77,48 @@
             if plan is None:
                 return NO_SERVER
             server = access.context.fleet.fleet.servers[plan.server]
-        self.server = server.name
-        resumed = last_event != access.caller.last_event
+        self._backup = access.choose_backup(server.name)
         terms = access.build_terms(server)._replace(
             source=source,
             fetch_from=None if source else access.find_address(plan.fetch_from),
-            last_event=last_event if resumed else None,
+            backup=None if self._backup is None else self._backup.address,
+            last_event=self._find_resume_point(last_event),
         )
-        outcome = await self._send(terms, plan)
-        access.context.metrics.attempts.labels(
-            access.service.name, type(outcome).__name__
-        ).inc()
-        return outcome
+        return await self._send(terms, plan)
+
+    async def read_part(self, response: Response, progress_at: float) -> bytes | None:
+        """Return the next part of a stream whose last event came at a time.
+
+        Fails with ResponseLostError if the engine is silent and unreachable, and the
+        run can go on elsewhere.
+        """
+        if not self._access.route.resumable and not self.has_backup():
+            return await response.read_part()
+        silence = self._access.context.reactor.seconds() - progress_at
+        limit = self._access.silence_seconds - silence
+        return await self._detector.wait(self.server, response.read_part, limit)
+
+    def has_backup(self) -> bool:
+        """Return whether another engine may keep a copy of the run that was lost."""
+        backup = self._backup
+        if backup is None:
+            return False
+        known = self._access.context.fleet.fleet.servers.get(backup.name)
+        return known is not None and known.born == backup.born and not known.leaving
+
+    async def continue_run(self, last_event: int | None) -> Outcome:
+        """Continue the lost run at the engine that keeps its copy.
+
+        The engine refuses it if no copy arrived before the loss.
+        """
+        self.close()
+        access, backup = self._access, self._backup
+        self._backup = None
+        terms = access.build_terms(backup)._replace(
+            source=(backup.address, access.caller.request_id),
+            last_event=self._find_resume_point(last_event),
+        )
+        return await self._send(terms, Plan(backup.name))
 
     def record_first_event(self) -> None:
         """Record the first event of the answer: the request runs."""
@@ -104,6 +139,7 @@
     def record_answer(self, status: int) -> None:
         """Record that the answer is complete."""
         self.in_flight = False
+        self._backup = None
         context = self._access.context
         now = context.reactor.seconds()
         if status < MIN_SERVER_ERROR_STATUS:
@@ -125,9 +161,21 @@
             self._reservation = None
         self._prefill.release()
 
+    def _find_resume_point(self, last_event: int | None) -> int | None:
+        """Return the last event if it is later than the one that the caller named."""
+        return last_event if last_event != self._access.caller.last_event else None
+
     async def _send(self, terms: ForwardingTerms, plan: Plan) -> Outcome:
+        outcome = await self._exchange_heads(terms, plan)
+        self._access.context.metrics.attempts.labels(
+            self._access.service.name, type(outcome).__name__
+        ).inc()
+        return outcome
+
+    async def _exchange_heads(self, terms: ForwardingTerms, plan: Plan) -> Outcome:
         access, context = self._access, self._access.context
         server = terms.server
+        self.server = server.name
         tokens = 0.0
         self._expected_tokens = 0.0
         if terms.source is None:
@@ -175,6 +223,8 @@
         may_repeat = access.route.repeatable and access.route.max_attempts > 1
         if may_repeat and budget.retries >= 1 and timeout < (access.deadline - now) / 2:
             return await access.wait_for_head(response, self.server, timeout)
+        if self.has_backup():
+            return await self._detector.wait(self.server, response.read_head, timeout)
         return await response.read_head()
 
     def _count_usage(self) -> None:
--- a/wisteriagw/gateway/_server_access.py
+++ b/wisteriagw/gateway/_server_access.py
@@ -7,7 +7,15 @@
 
 from twisted.internet.defer import Deferred, TimeoutError
 
-from wisteriagw.placement import choose_plan, choose_server
+from wisteriagw.placement import (
+    QueueTerms,
+    choose_backup,
+    choose_plan,
+    choose_server,
+    find_patience,
+    is_queue_too_long,
+    is_returning,
+)
 from wisteriagw.platform import (
     ForwardingTerms,
     belongs_to,
@@ -23,6 +31,11 @@
     from wisteriagw.platform import CallerRequest
     from wisteriagw.routes import Admitted
 
+# A stream whose pause is this many times as long as the longest one that is on time may
+# be lost. Callers wait for eight times that pause, and for 2 s at least, which leaves
+# time to continue it.
+SILENCE_FACTOR = 4.0
+MIN_SILENCE_SECONDS = 0.5
 # Time reserved for the transfer of a late answer to the caller.
 DEADLINE_MARGIN_SECONDS = 0.01
 
@@ -94,6 +107,49 @@
         )
         return plan
 
+    def is_queue_too_long(self, plan: Plan) -> bool:
+        """Return whether the request is refused because of the queues of its plan."""
+        route, caller = self.route, self.caller
+        if (
+            not route.streaming
+            or caller.prompt is None
+            or caller.last_event is not None
+        ):
+            return False
+        terms = QueueTerms(
+            route.target_seconds,
+            find_patience(route.target_seconds, route.gap_seconds),
+            is_returning(route.timeout, caller.timeout),
+        )
+        if not is_queue_too_long(plan.queue_seconds, terms):
+            return False
+        self.context.log.write(
+            "queue_refusal",
+            request_id=caller.request_id,
+            service=self.service.name,
+            queue=round(plan.queue_seconds, 3),
+            target=terms.target_seconds,
+            patience=terms.patience_seconds,
+            returning=terms.returning,
+        )
+        return True
+
+    def choose_backup(self, running: str) -> BackendServer | None:
+        """Return the engine that keeps a copy of the run, or None if none does.
+
+        Only a stream that no other run may continue is copied: the others are run again
+        from their prompt, which costs the fleet less than a copy of each.
+        """
+        engine, route = self.service.engine, self.route
+        if engine is None or not engine.keeps_backups or self.caller.prompt is None:
+            return None
+        if not route.streaming or route.resumable:
+            return None
+        context = self.context
+        views = self._list_views(context.reactor.seconds())
+        name = choose_backup(self.caller.request_id, running, views)
+        return None if name is None else context.fleet.fleet.servers[name]
+
     def build_terms(self, server: BackendServer) -> ForwardingTerms:
         """Return the terms of an attempt at a server."""
         priority = None
@@ -117,6 +173,12 @@
             lambda head: belongs_to(head, self._request_id),
         )
 
+    @property
+    def silence_seconds(self) -> float:
+        """Pause within a stream after which its engine is checked."""
+        gap = self.route.gap_seconds or self.route.target_seconds
+        return max(MIN_SILENCE_SECONDS, SILENCE_FACTOR * gap)
+
     async def wait_for_head(
         self, response: Response, server: str, timeout: float
     ) -> ResponseHead:
--- a/wisteriagw/placement/__init__.py
+++ b/wisteriagw/placement/__init__.py
@@ -2,9 +2,21 @@
 
 from __future__ import annotations
 
+from wisteriagw.placement._backup_choice import choose_backup
 from wisteriagw.placement._cached_parts import CachedParts
 from wisteriagw.placement._choice import choose_plan, choose_server
-from wisteriagw.placement._engine_rates import EngineRates, update_rates
+from wisteriagw.placement._engine_rates import (
+    EngineRates,
+    update_rates,
+    update_stream_seconds,
+)
+from wisteriagw.placement._load_admission import (
+    QueueTerms,
+    find_patience,
+    is_queue_too_long,
+    is_returning,
+    spread_return,
+)
 from wisteriagw.placement._plan import Plan
 from wisteriagw.placement._prompt import Prompt
 from wisteriagw.placement._server_view import ServerView
@@ -15,9 +27,16 @@
     "EngineRates",
     "Plan",
     "Prompt",
+    "QueueTerms",
     "ServerView",
     "WorkTable",
+    "choose_backup",
     "choose_plan",
     "choose_server",
+    "find_patience",
+    "is_queue_too_long",
+    "is_returning",
+    "spread_return",
     "update_rates",
+    "update_stream_seconds",
 ]
--- a/wisteriagw/platform/_configuration.py
+++ b/wisteriagw/platform/_configuration.py
@@ -58,6 +58,7 @@
         # "public" means that requests on this route carry no key.
         open=bool(fields.get("public", False)),
         targets=targets or ((fields["service"], 1.0),),
+        gap_seconds=fields.get("gap_target_ms", 0) / 1000,
     )
 
 
@@ -82,6 +83,8 @@
         link_mbps=float(fields.get("link_mbps", 0.0)),
         handle_ttl=float(fields.get("kv_ttl_s", 0.0)),
         stage_switch_seconds=float(fields.get("stage_switch_s", 0.0)),
+        # "replicas" are copies of the KV cache of running requests.
+        keeps_backups=bool(fields.get("replicas", False)),
     )
 
 
--- a/wisteriagw/platform/_forwarding.py
+++ b/wisteriagw/platform/_forwarding.py
@@ -73,6 +73,10 @@
     if terms.fetch_from is not None:
         host, port = terms.fetch_from
         headers.append((b"kv-fetch", f"{host}:{port}".encode("latin-1")))
+    if terms.backup is not None:
+        host, port = terms.backup
+        backup = f"{host}:{port}".encode("latin-1")
+        headers.append((b"x-wisteriagw-kv-backup", backup))
     if terms.last_event is not None:
         headers.append((b"last-event-id", b"%d" % terms.last_event))
     return HttpRequest(request.method, request.target, tuple(headers), request.body)
--- a/wisteriagw/platform/_forwarding_terms.py
+++ b/wisteriagw/platform/_forwarding_terms.py
@@ -24,9 +24,12 @@
     prefill_only : bool
         Whether the engine runs only the prefill.
     source : tuple or None
-        Address and handle of the KV cache kept by an engine of the prefill stage.
+        Address of the engine that keeps KV cache for the run, and its handle: that of
+        a prefill, or the request's id for the copy of a run that was lost.
     fetch_from : tuple or None
         Address of an engine that keeps leading parts of the prompt.
+    backup : tuple or None
+        Address of an engine to which the run's KV cache is copied as it grows.
     last_event : int or None
         Id of the event after which a stream resumes; None keeps the caller's header.
     """
@@ -38,4 +41,5 @@
     prefill_only: bool = False
     source: tuple[tuple[str, int], str] | None = None
     fetch_from: tuple[str, int] | None = None
+    backup: tuple[str, int] | None = None
     last_event: int | None = None
--- a/wisteriagw/routes/_engine_traits.py
+++ b/wisteriagw/routes/_engine_traits.py
@@ -22,6 +22,9 @@
         Seconds for which a prefilled KV cache is kept for another engine.
     stage_switch_seconds : float
         Time for which a change of stage makes an engine unavailable.
+    keeps_backups : bool
+        Whether an engine can keep a copy of the KV cache of another engine's run and
+        continue the run from it.
     """
 
     slots: int
@@ -30,3 +33,4 @@
     link_mbps: float
     handle_ttl: float
     stage_switch_seconds: float
+    keeps_backups: bool = False
--- a/wisteriagw/routes/_route.py
+++ b/wisteriagw/routes/_route.py
@@ -31,6 +31,9 @@
         Whether requests need no key.
     targets : tuple
         Pairs of service and weight.
+    gap_seconds : float
+        Longest pause between two events of a stream that is on time; 0 if none is
+        stated.
     """
 
     name: str
@@ -45,3 +48,4 @@
     max_attempts: int
     open: bool
     targets: tuple[tuple[str, float], ...]
+    gap_seconds: float = 0.0
