Refuse streams at once before a queue longer than their target

Change: the plan tells how long a stream waits for those before it. Beyond the route's target a fresh stream is refused, with a Retry-After spread over the second half of what callers honour; a returning one, as its remaining time shows, waits as long as callers do, and is refused beyond that, because it would give up.

--- a/tests/support/_gateway_fixture.py
+++ b/tests/support/_gateway_fixture.py
@@ -223,12 +223,19 @@
             name, service, (f"10.0.0.{number}", 80), "north", 8, **fields
         )
 
-    def request(self, route: str, *headers, key: str = "k1", prompt: str = ""):
+    def request(
+        self,
+        route: str,
+        *headers,
+        key: str = "k1",
+        prompt: str = "",
+        deadline=(b"x-wisteriagw-deadline-ms", b"4000"),
+    ):
         """Send a caller's request and return its responder."""
         found = [
             (b"host", b"a.example"),
             (b"x-wisteriagw-request-id", b"r1"),
-            (b"x-wisteriagw-deadline-ms", b"4000"),
+            deadline,
             (b"authorization", f"Token {key}".encode()),
             *headers,
         ]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -40,6 +40,13 @@
         second.reply(200, b"ok")
         assert responder.body == b"ok"
 
+    def test_call_that_may_have_run_is_not_refused_as_not_run(self) -> None:
+        gateway = GatewayFixture()
+        responder = gateway.request("safe")
+        gateway.fleet.fleet.servers.clear()
+        gateway.pool.sent[0].response.handle_loss("reset")
+        assert responder.status == 502
+
     def test_number_of_attempts_is_limited(self) -> None:
         gateway = GatewayFixture()
         responder = gateway.request("safe")
@@ -198,6 +205,18 @@
         gateway.request("long", (b"last-event-id", b"7"), prompt="17000,100")
         assert gateway.pool.sent[0].headers[b"last-event-id"] == b"7"
 
+    def test_started_stream_without_another_server_is_aborted(self) -> None:
+        """A refusal after the head would be a second answer on the connection."""
+        gateway = GatewayFixture()
+        responder = gateway.request("long", prompt="17000,100")
+        first = gateway.pool.sent[0]
+        first.start(200)
+        first.response.handle_part(EVENT % 1)
+        gateway.fleet.fleet.servers.clear()
+        first.response.handle_loss("reset")
+        assert responder.aborted and responder.status == 200
+        assert responder.body == EVENT % 1
+
     def test_loss_before_the_first_event_of_an_unrepeatable_stream(self) -> None:
         gateway = GatewayFixture()
         responder = gateway.request("ask", prompt="300,50")
--- a/wisteriagw/gateway/_engine_rate_table.py
+++ b/wisteriagw/gateway/_engine_rate_table.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from wisteriagw.placement import EngineRates, update_rates
+from wisteriagw.placement import EngineRates, update_rates, update_stream_seconds
 
 
 class EngineRateTable:
@@ -21,3 +21,7 @@
         Tokens are counted at prefill speed.
         """
         self._rates[service] = update_rates(self.get(service), tokens, seconds)
+
+    def add_stream(self, service: str, seconds: float) -> None:
+        """Update the estimate from the seconds that a stream ran after its start."""
+        self._rates[service] = update_stream_seconds(self.get(service), seconds)
--- a/wisteriagw/gateway/_request_exchange.py
+++ b/wisteriagw/gateway/_request_exchange.py
@@ -11,10 +11,12 @@
 from wisteriagw.gateway._event_splitter import EventSplitter
 from wisteriagw.gateway._request_forwarder import (
     MIN_SERVER_ERROR_STATUS,
+    QUEUE_TOO_LONG,
     RequestForwarder,
 )
 from wisteriagw.gateway._server_access import ServerAccess
 from wisteriagw.outcomes import Answering, MayHaveRun, RefusedNotRun
+from wisteriagw.placement import spread_return
 from wisteriagw.platform import encode_refusal, filter_headers
 from wisteriagw.retries import Attempts, decide_retry, record_attempt
 
@@ -197,16 +199,19 @@
         if self._attempts.may_have_run:
             self._refuse(502, "may_have_run", str(outcome))
             return
-        code = outcome.code if isinstance(outcome, RefusedNotRun) else "not_reached"
-        self._refuse(503, code, str(outcome))
+        if isinstance(outcome, RefusedNotRun):
+            code = outcome.code
+        self._refuse(503, code, str(outcome), self._find_retry_after(outcome))
 
-    def _refuse(self, status: int, code: str, reason: str) -> None:
-        retry_after = None
-        if status == 503:
-            left = self._deadline - self._context.reactor.seconds()
-            retry_after = min(
-                MAX_RETRY_AFTER_SECONDS, max(0, left * RETRY_AFTER_FRACTION)
-            )
+    def _find_retry_after(self, outcome: Outcome | None = None) -> float:
+        left = max(0.0, self._deadline - self._context.reactor.seconds())
+        if outcome is QUEUE_TOO_LONG:
+            return spread_return(left, self._context.draw())
+        return min(MAX_RETRY_AFTER_SECONDS, left * RETRY_AFTER_FRACTION)
+
+    def _refuse(
+        self, status: int, code: str, reason: str, retry_after: float | None = None
+    ) -> None:
         headers, body = encode_refusal(
             code, reason, self._caller.request_id, retry_after
         )
@@ -229,7 +234,8 @@
         elif may_have_run:
             self._refuse(504, self._end_reason, "no answer in time; it may have run")
         else:
-            self._refuse(503, self._end_reason, "not run in time")
+            retry_after = self._find_retry_after()
+            self._refuse(503, self._end_reason, "not run in time", retry_after)
 
     def _clean_up(self, timer: Any) -> None:
         if timer.active():
--- a/wisteriagw/gateway/_request_forwarder.py
+++ b/wisteriagw/gateway/_request_forwarder.py
@@ -31,6 +31,7 @@
 SERVER_ERROR_WEIGHT = 0.2
 MIN_SERVER_ERROR_STATUS = 500
 MISDIRECTED_STATUS = 421
+QUEUE_TOO_LONG = RefusedNotRun("overloaded", "the queues of the engines are too long")
 NO_SERVER = FailedNotRun("no backend server can take the request")
 
 
@@ -69,6 +70,8 @@
         plan = access.place(excluded)
         if plan is None:
             return NO_SERVER
+        if not excluded and access.is_queue_too_long(plan):
+            return QUEUE_TOO_LONG
         source = await self._prefill.run(plan) if plan.prefill else None
         server = access.context.fleet.fleet.servers.get(plan.server)
         if server is None or server.leaving:
@@ -134,6 +137,7 @@
                 access.service.name, self._expected_tokens, seconds
             )
         self._sent_at = 0.0
+        self._running_since = now
         self._count_usage()
 
     def record_answer(self, status: int) -> None:
@@ -144,6 +148,9 @@
         now = context.reactor.seconds()
         if status < MIN_SERVER_ERROR_STATUS:
             context.work.record_success(self.server, now)
+            if self._running_since is not None:
+                seconds = now - self._running_since
+                context.rates.add_stream(self._access.service.name, seconds)
         else:
             context.work.record_failure(self.server, now, SERVER_ERROR_WEIGHT)
 
@@ -185,6 +192,7 @@
         self._reservation = WorkReservation(context.work, server.name, tokens)
         access.record_parts(server.name)
         self._sent_at = context.reactor.seconds()
+        self._running_since = None
         try:
             self._response = await access.send(terms)
         except ConnectFailedError as error:
