Resume reading when a response ends, and abort unread closes later

Change: the end of a response resumes reading; a connection that was closed is aborted after twice its timeout only.

--- a/wisteriagw/connections/_response.py
+++ b/wisteriagw/connections/_response.py
@@ -71,9 +71,8 @@
             await self._wait()
         part = self._parts.popleft()
         self._queued_bytes -= len(part)
-        if self._paused and self._queued_bytes <= MAX_QUEUED_BYTES:
-            self._paused = False
-            self._set_reading(True)
+        if self._queued_bytes <= MAX_QUEUED_BYTES:
+            self._resume()
         return part
 
     async def read_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
@@ -116,6 +115,8 @@
     def handle_end(self) -> None:
         """Mark the body as complete."""
         self.ended = True
+        # The connection may carry another request before the queued parts are read.
+        self._resume()
         self._wake()
 
     def handle_loss(self, reason: str) -> None:
@@ -125,6 +126,11 @@
         self._error = ResponseLostError(reason)
         self._wake()
 
+    def _resume(self) -> None:
+        if self._paused:
+            self._paused = False
+            self._set_reading(True)
+
     def _wait(self) -> Deferred[Any]:
         self._waiting = Deferred()
         return self._waiting
--- a/wisteriagw/connections/_server_connection.py
+++ b/wisteriagw/connections/_server_connection.py
@@ -43,7 +43,6 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._refused = False
-        self._closing = False
         self._streaming = False
         self._writing_paused = False
         self._waiting_writer: Deferred[None] | None = None
@@ -77,14 +76,7 @@
             self.responder.handle_disconnect()
 
     def close(self) -> None:
-        """Close after all pending writes have been sent.
-
-        Aborts if that was requested before: the caller does not read them.
-        """
-        if self._closing:
-            self.transport.abortConnection()
-            return
-        self._closing = True
+        """Close after all pending writes have been sent."""
         self._end_streaming()
         self.transport.loseConnection()
 
--- a/wisteriagw/connections/_server_factory.py
+++ b/wisteriagw/connections/_server_factory.py
@@ -59,7 +59,11 @@
         logger.info("refused a malformed or oversized request with status %d", status)
 
     def close_idle(self) -> None:
-        """Close connections that exceed the idle or the request header timeout."""
+        """Close connections that exceed the idle or the request header timeout.
+
+        One that is still open after twice that time is aborted: its caller does not
+        read the last writes.
+        """
         now = self.clock()
         for connection in list(self.connections):
             if connection.responder is not None:
@@ -67,7 +71,10 @@
             timeout = self.limits.idle_timeout
             if connection.reading:
                 timeout = self.limits.header_timeout
-            if now - connection.waiting_since > timeout:
+            idle = now - connection.waiting_since
+            if idle > 2 * timeout:
+                connection.abort()
+            elif idle > timeout:
                 connection.close()
 
     def count_busy(self) -> int:
