--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -194,6 +194,18 @@
         assert body == [b"new"]
         assert response.head.find_header(b"x-id") == b"r1"
 
+    def test_own_response_may_come_later_than_a_skipped_one(self) -> None:
+        """The end of the skipped response is not the end of the connection."""
+        connection, _ = self.connect()
+        body = collect(self.send(connection).read_body())
+        old = b"HTTP/1.1 200 OK\r\nX-Id: r0\r\nContent-Length: 3\r\n\r\nold"
+        connection.dataReceived(old)
+        assert body == []
+        connection.dataReceived(old[:9])
+        connection.dataReceived(old[9:])
+        connection.dataReceived(old.replace(b"r0", b"r1").replace(b"old", b"new"))
+        assert body == [b"new"]
+
     def test_bytes_after_a_response_close_the_connection(self) -> None:
         connection, transport = self.connect()
         response = self.send(connection)
--- a/wisteriagw/connections/_client_connection.py
+++ b/wisteriagw/connections/_client_connection.py
@@ -171,7 +171,9 @@
             )
         )
         self._http.send(h11.EndOfMessage())
-        self._http.receive_data(trailing)
+        if trailing:
+            # No data would mean the end of the connection to h11.
+            self._http.receive_data(trailing)
 
 
 @singledispatch
