Keep the configuration fresh between long polls, and bound other responses

Causes, both found when the new feature failed once beside load (a request refused with stale_configuration, config_age 4.01 s; the gateway's log was kept): 1. a VM whose reads no relay confirms waits 2 s in each long poll and dates it by its start, so the age reaches 4 s just before the end of the next one, which is the limit: requests were refused for some ms every two seconds. All VMs of data centres with one or two VMs read so. Informational responses without end were parsed for as long as the request lasted and kept the loop busy for two seconds.

Change: the wait is 0.3 of the bound instead of 0.4 (two polls with calls of 0.5 s stay within the limit); more than 100 responses before the own one are a lost response.

--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -82,14 +82,24 @@
         assert fed <= 100_000
         assert body[0].check(ResponseLostError)
 
-    def test_informational_responses_without_end_are_not_kept(self) -> None:
-        """They end with the request; until then only the newest one is parsed."""
-        connection, _, response = open_response()
-        collect(response.read_head())
-        for _ in range(2_000):
-            connection.dataReceived(b"HTTP/1.1 103 Early\r\nX-A: b\r\n\r\n")
-        assert response.head is None
-        assert len(connection._http.trailing_data[0]) == 0
+    @pytest.mark.parametrize(
+        "other",
+        [
+            b"HTTP/1.1 103 Early\r\nX-A: b\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nX-Id: r0\r\nContent-Length: 1\r\n\r\nx",
+        ],
+        ids=["1xx", "of an earlier request"],
+    )
+    def test_other_responses_without_end_are_lost(self, other: bytes) -> None:
+        """Parsing them kept the process busy, so that other requests were refused."""
+        connection = ClientConnection(lambda used: None, lambda closed: None)
+        transport = CountingTransport()
+        connection.makeConnection(transport)
+        response = connection.send(REQUEST, lambda head: not head.find_header(b"x-id"))
+        head = collect(response.read_head())
+        fed = feed_until_closed(connection, transport, other)
+        assert fed <= 200 * len(other)
+        assert head[0].check(ResponseLostError)
 
     @pytest.mark.parametrize(
         "head",
--- a/tests/test_gateway_feeds.py
+++ b/tests/test_gateway_feeds.py
@@ -38,12 +38,15 @@
 
     def __init__(self, clock: Clock) -> None:
         self.topics = TopicStore()
+        # Seconds that a read takes besides its wait; None for reads that do not wait.
+        self.latency: float | None = None
         self._clock = clock
 
     async def read(self, topic, start, wait=0.0):
         from twisted.internet.task import deferLater
 
-        await deferLater(self._clock, POLL_SECONDS)
+        seconds = POLL_SECONDS if self.latency is None else wait + self.latency
+        await deferLater(self._clock, seconds)
         return await self.topics.read(topic, start)
 
     async def read_newest(self, topic):
@@ -113,6 +116,16 @@
         advance(self.clock, 1.0)
         assert feed.is_fresh()
 
+    def test_configuration_that_does_not_change_stays_fresh(self) -> None:
+        """A VM whose reads no relay confirms refused requests after each long poll."""
+        feed = self.start()
+        self.put(build_configuration(3))
+        advance(self.clock, 0.5)
+        self.store.latency = 0.3
+        for _ in range(1_000):
+            self.clock.advance(0.01)
+            assert feed.is_fresh(), feed.get_age()
+
     def test_change_in_deleted_records_is_found(self) -> None:
         feed = self.start()
         self.put(build_configuration(3))
--- a/wisteriagw/connections/_client_connection.py
+++ b/wisteriagw/connections/_client_connection.py
@@ -26,6 +26,9 @@
 IDLE_TIMEOUT_FRACTION = 0.6
 # Used if the server states no idle timeout; common server defaults are 5 s and more.
 DEFAULT_IDLE_SECONDS = 3.0
+# Informational responses and responses to earlier requests before the own one. A server
+# that sends them without end would keep the process busy.
+MAX_OTHER_RESPONSES = 100
 
 
 class ClientConnection(Protocol):
@@ -52,6 +55,7 @@
         self._on_close = on_close
         self._http = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
+        self._other_responses = 0
 
     def connectionMade(self) -> None:
         """Disable Nagle's algorithm and enable TCP keep-alive."""
@@ -62,6 +66,7 @@
         self, request: HttpRequest, accepts: Callable[[ResponseHead], bool]
     ) -> Response:
         """Send a request and return its response."""
+        self._other_responses = 0
         self.response = Response(accepts, self.close, self._set_reading)
         self._request = h11.Request(
             method=request.method, target=request.target, headers=request.headers
@@ -113,6 +118,12 @@
         if reusable:
             self._release(self)
 
+    def count_other_response(self) -> None:
+        """Count a response that is not the own one; fails if there are too many."""
+        self._other_responses += 1
+        if self._other_responses > MAX_OTHER_RESPONSES:
+            raise h11.RemoteProtocolError("too many responses before the own one")
+
     def apply_keep_alive(self, head: ResponseHead) -> None:
         """Derive the idle time from the ``Keep-Alive`` header of a response."""
         value = head.find_header(b"keep-alive")
@@ -178,7 +189,12 @@
 
 @singledispatch
 def handle_event(event: Any, connection: ClientConnection) -> None:
-    """Apply an h11 event to a connection; informational responses are ignored."""
+    """Apply an h11 event to a connection."""
+
+
+@handle_event.register(h11.InformationalResponse)
+def _(event: h11.InformationalResponse, connection: ClientConnection) -> None:
+    connection.count_other_response()
 
 
 @handle_event.register(h11.Response)
@@ -186,6 +202,7 @@
     head = ResponseHead(event.status_code, tuple(event.headers))
     if not connection.response.accepts(head):
         connection.skipping = True
+        connection.count_other_response()
         return
     connection.apply_keep_alive(head)
     connection.response.handle_head(head)
--- a/wisteriagw/gateway/_configuration_feed.py
+++ b/wisteriagw/gateway/_configuration_feed.py
@@ -22,9 +22,9 @@
 logger = logging.getLogger(__name__)
 
 # Wait of a long poll, as a fraction of the time within which a withdrawn key must stop
-# working. It is small, because a long poll confirms the configuration as of its start,
-# so that its wait counts towards the age.
-WAIT_FRACTION = 0.4
+# working. A long poll confirms the configuration as of its start, so just before the
+# end of the next one the age is that of two waits and two calls.
+WAIT_FRACTION = 0.3
 # A request with a key runs only while the configuration is younger than this fraction
 # of that time; the rest covers the latency from the caller and to the backend server.
 FRESH_FRACTION = 0.8
