--- a/tests/test_gateway_feeds.py
+++ b/tests/test_gateway_feeds.py
@@ -248,6 +248,22 @@
         assert self.clock.seconds() - recovered_at < 2.0
         assert feed.fleet.servers == {}
 
+    def test_server_that_left_while_the_store_refused_this_vm_gets_no_work(
+        self,
+    ) -> None:
+        """Its removal counts from the store, which served all other VMs."""
+        feed = self.start()
+        self.put()
+        advance(self.clock, 1.0)
+        self.store.topics.down = True
+        advance(self.clock, 5.0)
+        self.store.topics.put(REGISTER_TOPIC, "i-1", b"")
+        removed_at = self.clock.seconds()
+        advance(self.clock, 0.9)
+        self.store.topics.down = False
+        advance(self.clock, removed_at + 2.0 - self.clock.seconds())
+        assert feed.fleet.servers == {}
+
     def test_expired_entry_that_stays_missing_is_dropped(self) -> None:
         feed = self.expire()
         advance(self.clock, REREGISTRATION_SECONDS + 1.0)
