Continue a lost stream only after one of its events

From second 25 on engines reset the connections of runs that had just begun; such a stream had no event, so the request to the engine with the copy bore no Last-Event-Id and was a second run of a request that may not be repeated.

Change: a stream is continued from a copy only after an event; before that it ends with 502. Silence before the first event is not checked any more for such streams.

--- a/wisteriagw/gateway/_request_exchange.py
+++ b/wisteriagw/gateway/_request_exchange.py
@@ -104,9 +104,10 @@
     def _should_retry(self, outcome: Outcome) -> bool:
         context, service = self._context, self._service.name
         now = context.reactor.seconds()
-        lost = isinstance(outcome, MayHaveRun)
+        # A run that goes on from a copy after its last event is not another attempt.
+        # Without an event it would be a second run.
+        lost = self._responder.started and isinstance(outcome, MayHaveRun)
         self._continuing = lost and self._forwarder.has_backup()
-        # A run that goes on from a copy of its KV cache is not another attempt.
         if not self._continuing:
             if len(self._attempts.excluded) >= self._route.max_attempts:
                 return False
--- a/wisteriagw/gateway/_request_forwarder.py
+++ b/wisteriagw/gateway/_request_forwarder.py
@@ -95,7 +95,8 @@
         Fails with ResponseLostError if the engine is silent and unreachable, and the
         run can go on elsewhere.
         """
-        if not self._access.route.resumable and not self.has_backup():
+        may_go_on = self.has_backup() and not self._sent_at
+        if not self._access.route.resumable and not may_go_on:
             return await response.read_part()
         silence = self._access.context.reactor.seconds() - progress_at
         limit = self._access.silence_seconds - silence
@@ -231,8 +232,6 @@
         may_repeat = access.route.repeatable and access.route.max_attempts > 1
         if may_repeat and budget.retries >= 1 and timeout < (access.deadline - now) / 2:
             return await access.wait_for_head(response, self.server, timeout)
-        if self.has_backup():
-            return await self._detector.wait(self.server, response.read_head, timeout)
         return await response.read_head()
 
     def _count_usage(self) -> None:
