Log the prompt parts of lost answers, and whether their server ended

The log could not tell a request that ends engines from overload or damaged copies: a lost answer named neither the parts of its prompt nor how far it was, and a lost connection looked like a lost engine. attempt_failed gets the progress and the parts, a lost answer leads to a probe of the server (crash_check), and ended servers are counted by service. No decision uses them yet.

--- a/tests/support/_gateway_fixture.py
+++ b/tests/support/_gateway_fixture.py
@@ -9,12 +9,14 @@
 from wisteriagw.connections import (
     ConnectFailedError,
     HttpRequest,
+    Reachability,
     Response,
     ResponseHead,
 )
 from wisteriagw.fleet import BackendServer
 from wisteriagw.gateway._configuration_feed import ConfigurationFeed
 from wisteriagw.gateway._context import GatewayContext
+from wisteriagw.gateway._crash_detector import CrashDetector
 from wisteriagw.gateway._decision_log import DecisionLog
 from wisteriagw.gateway._engine_rate_table import EngineRateTable
 from wisteriagw.gateway._fleet_feed import FleetFeed
@@ -83,18 +85,23 @@
     def __init__(self) -> None:
         self.sent: list[SentRequest] = []
         self.unreachable: set = set()
+        self.refusing: set = set()
         self.checked: list = []
 
     async def send(self, address, request, accepts, connect_timeout=0.5):
-        if address in self.unreachable:
+        if address in self.unreachable | self.refusing:
             raise ConnectFailedError("refused")
         sent = SentRequest(address, request, accepts)
         self.sent.append(sent)
         return sent.response
 
-    async def is_reachable(self, address) -> bool:
+    async def probe(self, address) -> Reachability:
         self.checked.append(address)
-        return address not in self.unreachable
+        if address in self.refusing:
+            return Reachability.REFUSED
+        if address in self.unreachable:
+            return Reachability.SILENT
+        return Reachability.OPEN
 
 
 class RecordingResponder:
@@ -196,6 +203,7 @@
             self.add_server(f"lm-{number}", "lm", 10 + number, stage="decode")
         self.usage = UsageCounter(WINDOW_SECONDS, self.clock.seconds)
         self.pending_updates = PendingUpdates(self.usage)
+        log, metrics = DecisionLog(self.clock.seconds), GatewayMetrics()
         self.context = GatewayContext(
             self.clock,
             SETTINGS,
@@ -207,8 +215,9 @@
             RetryBudgets(SETTINGS),
             self.usage,
             self.pending_updates,
-            DecisionLog(self.clock.seconds),
-            GatewayMetrics(),
+            log,
+            metrics,
+            CrashDetector(self.clock, self.pool, self.fleet, self.work, log, metrics),
             lambda: 0.5,
         )
         self.handler = RequestHandler(self.context)
--- a/wisteriagw/connections/__init__.py
+++ b/wisteriagw/connections/__init__.py
@@ -6,6 +6,7 @@
 from wisteriagw.connections._connect_failed import ConnectFailedError
 from wisteriagw.connections._connection_pool import ConnectionPool
 from wisteriagw.connections._http_request import HttpRequest
+from wisteriagw.connections._reachability import Reachability
 from wisteriagw.connections._responder import Responder
 from wisteriagw.connections._response import Response
 from wisteriagw.connections._response_head import ResponseHead
@@ -17,6 +18,7 @@
     "ConnectFailedError",
     "ConnectionPool",
     "HttpRequest",
+    "Reachability",
     "Responder",
     "Response",
     "ResponseHead",
--- a/wisteriagw/connections/_connection_pool.py
+++ b/wisteriagw/connections/_connection_pool.py
@@ -6,9 +6,11 @@
 
 from twisted.internet.defer import CancelledError
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+from twisted.internet.error import ConnectionRefusedError
 
 from wisteriagw.connections._client_connection import ClientConnection
 from wisteriagw.connections._connect_failed import ConnectFailedError
+from wisteriagw.connections._reachability import Reachability
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -51,14 +53,15 @@
             connection = await self._connect(address, connect_timeout)
         return connection.send(request, accepts)
 
-    async def is_reachable(self, address: tuple[str, int]) -> bool:
-        """Return whether an address accepts a new connection, which is then kept."""
+    async def probe(self, address: tuple[str, int]) -> Reachability:
+        """Open a connection to an address, and keep it if it is accepted."""
         try:
             connection = await self._connect(address, CONNECT_TIMEOUT_SECONDS)
-        except ConnectFailedError:
-            return False
+        except ConnectFailedError as error:
+            refused = isinstance(error.__cause__, ConnectionRefusedError)
+            return Reachability.REFUSED if refused else Reachability.SILENT
         self._release(address, connection)
-        return True
+        return Reachability.OPEN
 
     def count_open(self, address: tuple[str, int]) -> int:
         """Return the number of connections to an address."""
--- a/wisteriagw/gateway/_context.py
+++ b/wisteriagw/gateway/_context.py
@@ -9,6 +9,7 @@
 
     from wisteriagw.connections import ConnectionPool
     from wisteriagw.gateway._configuration_feed import ConfigurationFeed
+    from wisteriagw.gateway._crash_detector import CrashDetector
     from wisteriagw.gateway._decision_log import DecisionLog
     from wisteriagw.gateway._engine_rate_table import EngineRateTable
     from wisteriagw.gateway._fleet_feed import FleetFeed
@@ -35,4 +36,5 @@
     pending_updates: PendingUpdates
     log: DecisionLog
     metrics: GatewayMetrics
+    crash_detector: CrashDetector
     draw: Callable[[], float]
--- a/wisteriagw/gateway/_loss_detector.py
+++ b/wisteriagw/gateway/_loss_detector.py
@@ -6,7 +6,7 @@
 
 from twisted.internet.defer import CancelledError, Deferred, TimeoutError
 
-from wisteriagw.connections import ResponseLostError
+from wisteriagw.connections import Reachability, ResponseLostError
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -63,4 +63,5 @@
         if address is None:
             # It left the register; until its connections close, the run may go on.
             return True
-        return await self._access.context.pool.is_reachable(address)
+        probed = await self._access.context.pool.probe(address)
+        return probed is Reachability.OPEN
--- a/wisteriagw/gateway/_metrics.py
+++ b/wisteriagw/gateway/_metrics.py
@@ -33,6 +33,12 @@
             ("service", "outcome"),
             registry=self._registry,
         )
+        self.server_crashes = Counter(
+            "wisteriagw_server_crashes",
+            "Backend servers that ended with requests of this VM open",
+            ("service",),
+            registry=self._registry,
+        )
         self.configuration_age = Gauge(
             "wisteriagw_configuration_age_seconds",
             "Time since the configuration was last confirmed to be current",
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -16,6 +16,7 @@
 from wisteriagw.gateway._cache_survey import CacheSurvey
 from wisteriagw.gateway._configuration_feed import ConfigurationFeed
 from wisteriagw.gateway._context import GatewayContext
+from wisteriagw.gateway._crash_detector import CrashDetector
 from wisteriagw.gateway._decision_log import DecisionLog
 from wisteriagw.gateway._directory_handler import ADDRESS_TTL_SECONDS, DirectoryHandler
 from wisteriagw.gateway._engine_rate_table import EngineRateTable
@@ -177,21 +178,25 @@
     ) -> GatewayContext:
         reactor, settings = self._reactor, self._settings
         usage = UsageCounter(settings.usage_window, wall_clock)
+        fleet = FleetFeed(reactor, store, self._remove_server)
+        work = WorkTable()
+        log, metrics = DecisionLog(reactor.seconds), GatewayMetrics()
         return GatewayContext(
             reactor,
             settings,
             ConfigurationFeed(
                 reactor, store, settings.withdrawal_seconds, self._apply_table
             ),
-            FleetFeed(reactor, store, self._remove_server),
+            fleet,
             pool,
-            WorkTable(),
+            work,
             EngineRateTable(),
             RetryBudgets(settings),
             usage,
             PendingUpdates(usage),
-            DecisionLog(reactor.seconds),
-            GatewayMetrics(),
+            log,
+            metrics,
+            CrashDetector(reactor, pool, fleet, work, log, metrics),
             random.random,
         )
 
--- a/wisteriagw/gateway/_prompt_prefill.py
+++ b/wisteriagw/gateway/_prompt_prefill.py
@@ -48,10 +48,12 @@
         try:
             self._response = await access.send(terms)
             head, body = await self._read_answer(plan)
-        except (ConnectFailedError, ResponseLostError, TimeoutError) as error:
-            access.record_failure(
-                server.name, f"prefill: {type(error).__name__} {error}"
-            )
+        except ConnectFailedError as error:
+            access.record_failure(server.name, f"prefill: {error}")
+            return None
+        except (ResponseLostError, TimeoutError) as error:
+            reason = f"prefill: {type(error).__name__} {error}"
+            access.record_loss(server.name, reason, "prefill")
             self._abort_answer()
             return None
         finally:
--- a/wisteriagw/gateway/_request_exchange.py
+++ b/wisteriagw/gateway/_request_exchange.py
@@ -142,7 +142,7 @@
             limits = self._context.configuration.table.limits
             body = await response.read_body(limits.max_body_bytes)
         except ResponseLostError as error:
-            self._forwarder.record_failure(str(error))
+            self._forwarder.record_loss(str(error))
             return MayHaveRun(str(error))
         self._forwarder.record_answer(head.status)
         if head.status >= MIN_SERVER_ERROR_STATUS and not self._responder.started:
--- a/wisteriagw/gateway/_request_forwarder.py
+++ b/wisteriagw/gateway/_request_forwarder.py
@@ -155,9 +155,10 @@
         else:
             context.work.record_failure(self.server, now, SERVER_ERROR_WEIGHT)
 
-    def record_failure(self, reason: str) -> None:
-        """Record that the server's answer was lost."""
-        self._access.record_failure(self.server, reason)
+    def record_loss(self, reason: str) -> None:
+        """Record that the server's answer was lost after its head had arrived."""
+        progress = "head" if self._running_since is None else "events"
+        self._access.record_loss(self.server, reason, progress)
 
     def close(self) -> None:
         """Abort the current attempt and release its resources."""
@@ -197,13 +198,14 @@
         try:
             self._response = await access.send(terms)
         except ConnectFailedError as error:
-            self.record_failure(str(error))
+            access.record_failure(server.name, str(error))
             return FailedNotRun(str(error))
         self.in_flight = True
         try:
             head = await self._read_head(self._response)
         except (ResponseLostError, TimeoutError) as error:
-            self.record_failure(f"{type(error).__name__} {error}")
+            reason = f"{type(error).__name__} {error}"
+            access.record_loss(server.name, reason, "nothing")
             if not access.route.streaming:
                 self._count_usage()
             return MayHaveRun(str(error))
@@ -213,10 +215,12 @@
         if reports_not_run(head):
             self.in_flight = False
             if head.status != MISDIRECTED_STATUS:
-                self.record_failure(f"refused with status {head.status}")
+                reason = f"refused with status {head.status}"
+                self._access.record_failure(self.server, reason)
             return RefusedNotRun("overloaded", f"backend status {head.status}")
         if not self._access.is_genuine(head):
-            self.record_failure(f"answer with status {head.status} is not genuine")
+            reason = f"answer with status {head.status} is not genuine"
+            self._access.record_failure(self.server, reason)
             return MayHaveRun("the answer is not the backend server's")
         if terms.source is not None:
             self._prefill.record_fetched()
--- a/wisteriagw/gateway/_server_access.py
+++ b/wisteriagw/gateway/_server_access.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import Deferred, TimeoutError
 
+from wisteriagw.gateway._lost_run import LostRun
 from wisteriagw.placement import (
     QueueTerms,
     choose_backup,
@@ -232,7 +233,15 @@
         )
         self.context.pending_updates.add_parts(server, new_parts)
 
-    def record_failure(self, server: str, reason: str) -> None:
+    def record_loss(self, server: str, reason: str, progress: str) -> None:
+        """Record that the answer of a server was lost with its connection."""
+        prompt = self.caller.prompt
+        parts = () if prompt is None else prompt.list_shared_parts()
+        run = LostRun(self.caller.request_id, progress, parts)
+        self.context.crash_detector.record_loss(server, run)
+        self.record_failure(server, reason, progress=progress, parts=parts)
+
+    def record_failure(self, server: str, reason: str, **details: Any) -> None:
         """Record that a server failed or refused the request."""
         now = self.context.reactor.seconds()
         self.context.work.record_failure(server, now)
@@ -242,4 +251,5 @@
             server=server,
             reason=reason,
             seconds=round(now - self._received_at, 4),
+            **details,
         )
--- a/wisteriagw/placement/_prompt.py
+++ b/wisteriagw/placement/_prompt.py
@@ -23,3 +23,7 @@
     tokens: int
     output_tokens: int
     parts: tuple[tuple[str, int], ...] = ()
+
+    def list_shared_parts(self) -> tuple[str, ...]:
+        """Return the parts that other requests may share."""
+        return tuple(part for part, _ in self.parts[:-1])
--- a/wisteriagw/placement/_work_table.py
+++ b/wisteriagw/placement/_work_table.py
@@ -97,6 +97,12 @@
         """Return whether a server has answered this VM successfully after a time."""
         return self._answered_at.get(server, float("-inf")) > since
 
+    def has_any_answered(self, since: float, excluded: str) -> bool:
+        """Return whether a server other than one has answered this VM after a time."""
+        return any(
+            at > since for name, at in self._answered_at.items() if name != excluded
+        )
+
     def apply_results(
         self, server: str, failures: float, answers: float, now: float
     ) -> None:
