Show that a prompt part that crashes engines keeps reaching them

A gateway with six engines: a request whose second part ends each engine that writes an answer on it comes once a second. The sound requests with the same leading part are served, and must be after it.

--- a/tests/support/_gateway_fixture.py
+++ b/tests/support/_gateway_fixture.py
@@ -238,6 +238,7 @@
         *headers,
         key: str = "k1",
         prompt: str = "",
+        parts: str = "aa:13300,bb:3700",
         deadline=(b"x-wisteriagw-deadline-ms", b"4000"),
     ):
         """Send a caller's request and return its responder."""
@@ -251,7 +252,7 @@
         if prompt:
             found.append((b"x-wisteriagw-model", b"m"))
             found.append((b"x-wisteriagw-token-count", prompt.encode()))
-            found.append((b"x-wisteriagw-prompt-prefix", b"aa:13300,bb:3700"))
+            found.append((b"x-wisteriagw-prompt-prefix", parts.encode()))
         responder = RecordingResponder()
         self.handler.handle(
             HttpRequest(b"POST", f"/{route}/x".encode(), tuple(found), b"body"),
