Refuse prompts whose parts crash engines

Callers saw 502 and broken streams, 5 to 49 for each engine: a prompt part ends each engine that writes an answer on it, new requests bring it to any VM, and repeats take it to further engines. Cause: a lost engine was held against the engine, never against what it was running. The class of the fault is a query of death.

The parts that were open at the crash of an engine are now suspects until a sound answer on them, here or on another VM; VMs exchange both through the relays. Parts that explain three crashes without one are quarantined on all VMs: prompts that hold them are refused at once, before a prefill, a repeat or the continuation of a copy. Parts that no evidence tells apart are refused only together, so sound prompts with the same leading part are served and clear it. Lost connections, engines that were leaving, engines that only this VM does not reach, and several engines lost at once mark nothing. Quarantines end after a minute and come back for twice as long after one more crash; all memory is bounded.

--- a/tests/support/_gateway_fixture.py
+++ b/tests/support/_gateway_fixture.py
@@ -17,6 +17,7 @@
 from wisteriagw.gateway._configuration_feed import ConfigurationFeed
 from wisteriagw.gateway._context import GatewayContext
 from wisteriagw.gateway._crash_detector import CrashDetector
+from wisteriagw.gateway._crashing_parts import CrashingParts
 from wisteriagw.gateway._decision_log import DecisionLog
 from wisteriagw.gateway._engine_rate_table import EngineRateTable
 from wisteriagw.gateway._fleet_feed import FleetFeed
@@ -203,6 +204,7 @@
             self.add_server(f"lm-{number}", "lm", 10 + number, stage="decode")
         self.usage = UsageCounter(WINDOW_SECONDS, self.clock.seconds)
         self.pending_updates = PendingUpdates(self.usage)
+        self.crashing_parts = CrashingParts(self.clock.seconds)
         log, metrics = DecisionLog(self.clock.seconds), GatewayMetrics()
         self.context = GatewayContext(
             self.clock,
@@ -217,7 +219,16 @@
             self.pending_updates,
             log,
             metrics,
-            CrashDetector(self.clock, self.pool, self.fleet, self.work, log, metrics),
+            self.crashing_parts,
+            CrashDetector(
+                self.clock,
+                self.pool,
+                self.fleet,
+                self.work,
+                log,
+                metrics,
+                self.crashing_parts,
+            ),
             lambda: 0.5,
         )
         self.handler = RequestHandler(self.context)
--- a/tests/support/_simulated_fleet.py
+++ b/tests/support/_simulated_fleet.py
@@ -9,6 +9,7 @@
 
 from tests.support._gateway_fixture import TABLE
 from wisteriagw.gateway._configuration_feed import ConfigurationFeed
+from wisteriagw.gateway._crashing_parts import CrashingParts
 from wisteriagw.gateway._fleet_feed import FleetFeed
 from wisteriagw.gateway._member import Member
 from wisteriagw.gateway._members import Members
@@ -87,6 +88,7 @@
         self.member = Member(vm, data_centre, f"{vm}:80", vm, 7000, "1", 0.5)
         self.members = Members(self.clock, self.store, self.member)
         self.ready = True
+        self.crashing_parts = CrashingParts(self.clock.seconds)
         settings = SimpleNamespace(
             vm=vm, data_centre=data_centre, apply_seconds=2.0, drain_seconds=2.0
         )
@@ -98,6 +100,7 @@
             work=self.work,
             usage=self.usage,
             pending_updates=PendingUpdates(self.usage),
+            crashing_parts=self.crashing_parts,
         )
         self.exchange = UpdateExchange(
             self.context,
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import pytest
+
 from tests.support._gateway_fixture import GatewayFixture
+from tests.support._simulated_fleet import SimulatedFleet
+from wisteriagw.placement import Prompt
 
 ENGINES = 6
 FIRST_ENGINE_NUMBER = 100
@@ -32,14 +36,24 @@
         """Send a request whose prompt has some shared parts, and run it."""
         prefix = ",".join(f"{part}:100" for part in (*parts, "own"))
         responder = self.gateway.request("long", prompt="300,20", parts=prefix)
+        self.serve_sent()
+        return responder
+
+    def serve_sent(self) -> None:
+        """Answer the requests that reached engines, or crash those."""
         while self._served < len(self.gateway.pool.sent):
             sent = self.gateway.pool.sent[self._served]
             self._served += 1
-            if self._bad_part in sent.headers[b"x-wisteriagw-prompt-prefix"]:
+            if b"x-wisteriagw-stage" in sent.headers:
+                sent.reply(200, b'{"kv_handle": "h"}')
+            elif self._bad_part in sent.headers[b"x-wisteriagw-prompt-prefix"]:
                 self._crash(sent)
             else:
                 sent.reply(200, EVENT)
-        return responder
+
+    def stop_crashes(self) -> None:
+        """Answer requests with the part from now on."""
+        self._bad_part = b"none"
 
     def advance(self, seconds: float) -> None:
         """Advance the time, with the configuration always just read."""
@@ -103,3 +117,152 @@
             engines.advance(1.0)
             served.append(engines.request("lead").body == EVENT)
         assert all(served)
+
+    def test_refusal_is_true_and_says_when_to_return(self) -> None:
+        engines = CrashingEngines("bad")
+        for _ in range(MAX_CRASHES):
+            engines.request("bad")
+            engines.advance(1.0)
+        sent = len(engines.gateway.pool.sent)
+        responder = engines.request("bad")
+        assert responder.status == 503
+        assert len(engines.gateway.pool.sent) == sent
+        assert float(responder.headers[b"retry-after"]) > 0
+
+    def test_part_that_no_longer_crashes_engines_is_served_again(self) -> None:
+        engines = CrashingEngines("bad")
+        for _ in range(MAX_CRASHES):
+            engines.request("bad")
+            engines.advance(1.0)
+        engines.stop_crashes()
+        engines.advance(120.0)
+        assert engines.request("bad").body == EVENT
+
+
+class TestOtherLosses:
+    """Crashes of another cause, and lost connections, must mark no prompt part."""
+
+    PARTS = "common:100,own:100"
+
+    def lose(self, how: str, rounds: int = 6) -> GatewayFixture:
+        gateway = GatewayFixture()
+        for number in range(rounds):
+            name = f"engine-{number}"
+            leaving = how == "leaving"
+            gateway.fleet.fleet.servers.clear()
+            gateway.add_server(name, "lm", 100 + number, stage="decode")
+            gateway.request("ask", prompt="300,20", parts=self.PARTS)
+            sent = gateway.pool.sent[-1]
+            if leaving:
+                server = gateway.fleet.fleet.servers[name]
+                gateway.fleet.fleet.servers[name] = server._replace(leaving=True)
+            if how in ("leaving", "crashed"):
+                gateway.pool.refusing.add(sent.address)
+            if how == "cut off":
+                gateway.pool.unreachable.add(sent.address)
+            sent.start(200)
+            sent.response.handle_loss("connection closed")
+            gateway.clock.advance(1.0)
+            gateway.confirm()
+        gateway.add_server("last", "lm", 99, stage="decode")
+        return gateway
+
+    @pytest.mark.parametrize(
+        ("how", "served"),
+        [("reset", True), ("leaving", True), ("cut off", True), ("crashed", False)],
+    )
+    def test_only_crashes_mark_a_part(self, how: str, served: bool) -> None:
+        gateway = self.lose(how)
+        before = len(gateway.pool.sent)
+        gateway.request("ask", prompt="300,20", parts=self.PARTS)
+        assert (len(gateway.pool.sent) > before) is served
+
+    def test_stream_that_has_gone_on_for_long_is_not_suspected(self) -> None:
+        gateway = GatewayFixture()
+        for number in range(6):
+            gateway.fleet.fleet.servers.clear()
+            gateway.add_server(f"engine-{number}", "lm", 100 + number, stage="decode")
+            gateway.request("ask", prompt="300,20", parts=self.PARTS)
+            sent = gateway.pool.sent[-1]
+            sent.start(200)
+            sent.response.handle_part(b"id: 1\ndata: t\n\n")
+            gateway.clock.advance(1.5)
+            sent.response.handle_part(b"id: 2\ndata: t\n\n")
+            gateway.pool.refusing.add(sent.address)
+            sent.response.handle_loss("connection closed")
+            gateway.confirm()
+        gateway.add_server("last", "lm", 99, stage="decode")
+        before = len(gateway.pool.sent)
+        gateway.request("ask", prompt="300,20", parts=self.PARTS)
+        assert len(gateway.pool.sent) == before + 1
+
+    def test_prefill_alone_clears_no_part(self) -> None:
+        engines = CrashingEngines("bad")
+        gateway = engines.gateway
+        gateway.add_server("prefill-1", "lm", 90, stage="prefill")
+        for _ in range(MAX_CRASHES):
+            prompt = "17000,20"
+            gateway.request("long", prompt=prompt, parts="bad:16000,own:1000")
+            engines.serve_sent()
+            engines.advance(1.0)
+        before = engines.count_sent("bad")
+        gateway.request("long", prompt="17000,20", parts="bad:16000,own:1000")
+        assert engines.count_sent("bad") == before
+
+
+class TestCrashReports:
+    """VMs see a few crashes each; all of them must learn the part, and new ones too."""
+
+    SIZES = {"north": 4, "south": 3, "west": 1}
+    BAD = Prompt("m", 300, 20, (("lead", 100), ("bad", 100), ("own", 100)))
+    SOUND = Prompt("m", 300, 20, (("lead", 100), ("own", 100)))
+
+    def build(self) -> SimulatedFleet:
+        fleet = SimulatedFleet(self.SIZES)
+        fleet.advance(3.0)
+        return fleet
+
+    def crash_once_per_vm(self, fleet: SimulatedFleet, vms: list[str]) -> None:
+        for number, vm in enumerate(vms):
+            crashing_parts = fleet.gateways[vm].crashing_parts
+            crashing_parts.record_crash(f"engine-{number}/1", [("lead", "bad")])
+            fleet.advance(1.0)
+
+    def list_quarantined(self, fleet: SimulatedFleet, prompt: Prompt) -> set[str]:
+        return {
+            vm
+            for vm, gateway in fleet.gateways.items()
+            if gateway.crashing_parts.find_quarantine(prompt) is not None
+        }
+
+    def test_every_vm_refuses_the_part_after_crashes_on_three(self) -> None:
+        fleet = self.build()
+        self.crash_once_per_vm(fleet, ["north-1", "south-2", "west-1"])
+        fleet.advance(1.0)
+        assert self.list_quarantined(fleet, self.BAD) == set(fleet.gateways)
+
+    def test_sound_answer_on_another_vm_clears_the_leading_part(self) -> None:
+        fleet = self.build()
+        self.crash_once_per_vm(fleet, ["north-1", "south-2"])
+        fleet.gateways["north-4"].crashing_parts.record_sound_answer(["lead"])
+        self.crash_once_per_vm(fleet, ["south-1", "north-2"])
+        fleet.advance(1.0)
+        lead = Prompt("m", 300, 20, (("lead", 100), ("x", 100), ("own", 100)))
+        assert self.list_quarantined(fleet, lead) == set()
+
+    def test_false_quarantine_is_lifted_by_an_earlier_sound_answer(self) -> None:
+        fleet = self.build()
+        self.crash_once_per_vm(fleet, ["north-1", "south-2", "west-1"])
+        fleet.gateways["south-3"].crashing_parts.record_sound_answer(["lead", "bad"])
+        fleet.advance(2.0)
+        assert self.list_quarantined(fleet, self.BAD) == set()
+
+    @pytest.mark.parametrize("data_centre", ["north", "west"])
+    def test_new_process_learns_quarantines(self, data_centre: str) -> None:
+        fleet = self.build()
+        self.crash_once_per_vm(fleet, ["north-1", "south-2", "west-1"])
+        fleet.add("new-1", data_centre)
+        fleet.gateways["new-1"].exchange.start()
+        fleet.advance(3.0)
+        assert "new-1" in self.list_quarantined(fleet, self.BAD)
+        assert self.list_quarantined(fleet, self.SOUND) == set()
--- a/wisteriagw/gateway/_context.py
+++ b/wisteriagw/gateway/_context.py
@@ -10,6 +10,7 @@
     from wisteriagw.connections import ConnectionPool
     from wisteriagw.gateway._configuration_feed import ConfigurationFeed
     from wisteriagw.gateway._crash_detector import CrashDetector
+    from wisteriagw.gateway._crashing_parts import CrashingParts
     from wisteriagw.gateway._decision_log import DecisionLog
     from wisteriagw.gateway._engine_rate_table import EngineRateTable
     from wisteriagw.gateway._fleet_feed import FleetFeed
@@ -36,5 +37,6 @@
     pending_updates: PendingUpdates
     log: DecisionLog
     metrics: GatewayMetrics
+    crashing_parts: CrashingParts
     crash_detector: CrashDetector
     draw: Callable[[], float]
--- a/wisteriagw/gateway/_crash_detector.py
+++ b/wisteriagw/gateway/_crash_detector.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from wisteriagw.connections import ConnectionPool
     from wisteriagw.fleet import BackendServer
+    from wisteriagw.gateway._crashing_parts import CrashingParts
     from wisteriagw.gateway._decision_log import DecisionLog
     from wisteriagw.gateway._fleet_feed import FleetFeed
     from wisteriagw.gateway._lost_run import LostRun
@@ -33,6 +34,7 @@
         work: WorkTable,
         log: DecisionLog,
         metrics: GatewayMetrics,
+        crashing_parts: CrashingParts,
     ) -> None:
         self._reactor = reactor
         self._pool = pool
@@ -40,6 +42,7 @@
         self._work = work
         self._log = log
         self._metrics = metrics
+        self._crashing_parts = crashing_parts
         self._pending: dict[BackendServer, list[LostRun]] = {}
 
     def record_loss(self, server: str, run: LostRun) -> None:
@@ -78,3 +81,7 @@
         )
         if crashed:
             self._metrics.server_crashes.labels(server.service).inc()
+            self._crashing_parts.record_crash(
+                f"{server.name}/{server.born}",
+                (run.parts for run in runs if not run.sound),
+            )
--- /dev/null
+++ b/wisteriagw/gateway/_crashing_parts.py
@@ -0,0 +1,168 @@
+"""Prompt parts that crash engines, as known to this VM and its peers."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from wisteriagw.crashes import CrashHistory, Quarantine, QuarantineList
+from wisteriagw.gateway._crash_report_queue import CrashReportQueue
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from wisteriagw.messages import CrashReports
+    from wisteriagw.placement import Prompt
+
+logger = logging.getLogger(__name__)
+
+# From this number of crashes on, VMs tell each other also of sound answers before the
+# last crash. They are many for a common part, and one crash alone marks many parts.
+MIN_CONTESTED_CRASHES = 2
+NEVER = float("-inf")
+
+
+class CrashingParts:
+    """Combines crashes and sound answers of all VMs into quarantines.
+
+    Each VM decides by itself from the same reports, so no request waits for another VM.
+    Reports may be lost: relays repeat the quarantines in force.
+
+    Parameters
+    ----------
+    clock : callable
+        Returns the time in seconds.
+
+    Attributes
+    ----------
+    reports : CrashReportQueue
+        Reports of this VM for its peers.
+    """
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.reports = CrashReportQueue()
+        self._clock = clock
+        self._history = CrashHistory()
+        self._quarantines = QuarantineList()
+        self._told_at: dict[str, float] = {}
+
+    def find_quarantine(self, prompt: Prompt | None) -> Quarantine | None:
+        """Return the quarantine in force for a prompt, or None."""
+        if prompt is None or not self._quarantines.entries:
+            return None
+        return self._quarantines.find(prompt.list_shared_parts(), self._clock())
+
+    def record_crash(self, crash: str, runs: Iterable[tuple[str, ...]]) -> None:
+        """Record the parts of each prompt that was open when an engine ended."""
+        now = self._clock()
+        distinct = {parts for parts in runs if parts}
+        for parts in distinct:
+            self.reports.add_crash(crash, parts, now)
+        self._add_crashes(((crash, parts, 0.0) for parts in distinct), now)
+
+    def record_sound_answer(self, parts: Iterable[str]) -> None:
+        """Record that an answer on some parts was written and its engine runs on."""
+        now = self._clock()
+        for part in parts:
+            self._add_sound_answer(part, now)
+            self._tell_sound_answer(part)
+
+    def apply_reports(self, reports: CrashReports, now: float) -> None:
+        """Apply the reports of a peer."""
+        self._add_crashes(reports.crashes, now)
+        for part, age in reports.sound_answers:
+            self._told_at[part] = max(now - age, self._told_at.get(part, NEVER))
+            self._add_sound_answer(part, now - age)
+        self._adopt_quarantines(reports.quarantines, now)
+
+    def list_quarantine_rows(self, now: float) -> tuple:
+        """Return the quarantines in force as rows for the peers."""
+        return tuple(
+            (
+                tuple(entry.parts),
+                now - entry.first_at,
+                now - entry.began_at,
+                entry.seconds,
+            )
+            for entry in self._quarantines.list_active(now)
+        )
+
+    def expire(self) -> None:
+        """Forget old reports; must be called periodically."""
+        now = self._clock()
+        self._history.expire(now)
+        self._quarantines.expire(now)
+        for part in list(self._told_at):
+            if self._history.get_sound_time(part) == NEVER:
+                del self._told_at[part]
+
+    def _add_crashes(self, rows: Iterable[tuple], now: float) -> None:
+        rows = [(crash, tuple(parts), now - age) for crash, parts, age in rows]
+        if not rows:
+            return
+        for crash, parts, at in rows:
+            self._history.add_crash(crash, at, parts)
+            for entry in self._quarantines.apply_crash(crash, parts, now):
+                self._log_begin(entry, "another crash")
+            for part in parts:
+                self._tell_sound_answer(part)
+        self._update_quarantines(now)
+
+    def _add_sound_answer(self, part: str, at: float) -> None:
+        suspected = self._history.count_crashes(part)
+        self._history.add_sound_answer(part, at)
+        for entry in self._quarantines.apply_sound_answer(part, at):
+            logger.info(
+                "quarantine of prompt parts %s ended: sound answer",
+                sorted(entry.parts),
+            )
+        if suspected:
+            self._update_quarantines(self._clock())
+
+    def _tell_sound_answer(self, part: str) -> None:
+        """Send the last sound answer on a part that was open at a crash.
+
+        Peers that know one later than the crash, or any if this one is older, need no
+        further one.
+        """
+        at = self._history.get_sound_time(part)
+        crash_at = self._history.get_crash_time(part)
+        known = self._told_at.get(part, NEVER)
+        if at <= known or known >= crash_at:
+            return
+        contested = self._history.count_crashes(part) >= MIN_CONTESTED_CRASHES
+        if at < crash_at and (known > NEVER or not contested):
+            return
+        self._told_at[part] = at
+        self.reports.add_sound_answer(part, at)
+
+    def _adopt_quarantines(self, rows: Iterable[tuple], now: float) -> None:
+        """Take over the quarantines of a relay, without parts that are sound."""
+        for parts, first_age, age, seconds in rows:
+            first_at = now - first_age
+            left = set()
+            for part in parts:
+                sound_at = self._history.get_sound_time(part)
+                if sound_at <= first_at:
+                    left.add(part)
+                elif self._told_at.get(part, NEVER) <= first_at:
+                    self._told_at[part] = sound_at
+                    self.reports.add_sound_answer(part, sound_at)
+            offered = Quarantine(
+                frozenset(left), frozenset(), first_at, now - age, seconds
+            )
+            if left and self._quarantines.adopt(offered, now):
+                self._log_begin(offered, "a relay")
+
+    def _update_quarantines(self, now: float) -> None:
+        signatures = self._history.find_signatures()
+        for entry in self._quarantines.apply_signatures(signatures, now):
+            self._log_begin(entry, f"{len(entry.crashes)} crashes")
+
+    def _log_begin(self, entry: Quarantine, reason: str) -> None:
+        logger.info(
+            "quarantine of prompt parts %s for %.0f s: %s",
+            sorted(entry.parts),
+            entry.seconds,
+            reason,
+        )
--- a/wisteriagw/gateway/_lost_run.py
+++ b/wisteriagw/gateway/_lost_run.py
@@ -17,8 +17,11 @@
         the answer: ``nothing``, ``head`` or ``events``.
     parts : tuple of str
         Parts of the prompt that other requests may share.
+    sound : bool
+        Whether the engine ran on after it had begun the answer.
     """
 
     request_id: str
     progress: str
     parts: tuple[str, ...] = ()
+    sound: bool = False
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -17,6 +17,7 @@
 from wisteriagw.gateway._configuration_feed import ConfigurationFeed
 from wisteriagw.gateway._context import GatewayContext
 from wisteriagw.gateway._crash_detector import CrashDetector
+from wisteriagw.gateway._crashing_parts import CrashingParts
 from wisteriagw.gateway._decision_log import DecisionLog
 from wisteriagw.gateway._directory_handler import ADDRESS_TTL_SECONDS, DirectoryHandler
 from wisteriagw.gateway._engine_rate_table import EngineRateTable
@@ -181,6 +182,7 @@
         fleet = FleetFeed(reactor, store, self._remove_server)
         work = WorkTable()
         log, metrics = DecisionLog(reactor.seconds), GatewayMetrics()
+        crashing_parts = CrashingParts(reactor.seconds)
         return GatewayContext(
             reactor,
             settings,
@@ -196,7 +198,8 @@
             PendingUpdates(usage),
             log,
             metrics,
-            CrashDetector(reactor, pool, fleet, work, log, metrics),
+            crashing_parts,
+            CrashDetector(reactor, pool, fleet, work, log, metrics, crashing_parts),
             random.random,
         )
 
@@ -241,6 +244,7 @@
         self._copies.prune(context.usage.get_window())
         self._front.close_idle()
         self._directory.close_idle()
+        context.crashing_parts.expire()
         vms = len(self._members.list_alive(self._reactor.seconds()))
         context.budgets.set_vm_count(max(vms, len(self._members.entries)))
         context.metrics.vms.set(vms)
--- a/wisteriagw/gateway/_request_exchange.py
+++ b/wisteriagw/gateway/_request_exchange.py
@@ -166,7 +166,7 @@
             if not events:
                 continue
             progress_at = self._context.reactor.seconds()
-            self._forwarder.record_first_event()
+            self._forwarder.record_events()
             if not responder.started:
                 self._record_first_event()
                 responder.start(outcome.head.status, filter_headers(outcome.head))
@@ -206,6 +206,8 @@
 
     def _find_retry_after(self, outcome: Outcome | None = None) -> float:
         left = max(0.0, self._deadline - self._context.reactor.seconds())
+        if isinstance(outcome, RefusedNotRun) and outcome.retry_after is not None:
+            return outcome.retry_after
         if outcome is QUEUE_TOO_LONG:
             return spread_return(left, self._context.draw())
         return min(MAX_RETRY_AFTER_SECONDS, left * RETRY_AFTER_FRACTION)
--- a/wisteriagw/gateway/_request_forwarder.py
+++ b/wisteriagw/gateway/_request_forwarder.py
@@ -29,6 +29,9 @@
 # An error status says less about the server's health than a lost answer, because the
 # request may be its cause.
 SERVER_ERROR_WEIGHT = 0.2
+# An engine that runs on for this long after the first event of an answer does not end
+# under it.
+SOUND_SECONDS = 1.0
 MIN_SERVER_ERROR_STATUS = 500
 MISDIRECTED_STATUS = 421
 QUEUE_TOO_LONG = RefusedNotRun("overloaded", "the queues of the engines are too long")
@@ -58,6 +61,7 @@
         self._sent_at = 0.0
         self._running_since: float | None = None
         self._expected_tokens = 0.0
+        self._sound = False
         self._backup: BackendServer | None = None
 
     async def attempt(
@@ -67,12 +71,19 @@
         self.close()
         self.server = ""
         access = self._access
+        refusal = access.find_quarantine()
+        if refusal is not None:
+            return refusal
         plan = access.place(excluded)
         if plan is None:
             return NO_SERVER
         if not excluded and access.is_queue_too_long(plan):
             return QUEUE_TOO_LONG
         source = await self._prefill.run(plan) if plan.prefill else None
+        # The parts may have crashed engines during the prefill.
+        refusal = access.find_quarantine() if plan.prefill else None
+        if refusal is not None:
+            return refusal
         server = access.context.fleet.fleet.servers.get(plan.server)
         if server is None or server.leaving:
             # The server was removed or began to leave during the prefill.
@@ -118,16 +129,32 @@
         self.close()
         access, backup = self._access, self._backup
         self._backup = None
+        refusal = access.find_quarantine()
+        if refusal is not None:
+            self.server = ""
+            return refusal
         terms = access.build_terms(backup)._replace(
             source=(backup.address, access.caller.request_id),
             last_event=self._find_resume_point(last_event),
         )
         return await self._send(terms, Plan(backup.name))
 
-    def record_first_event(self) -> None:
-        """Record the first event of the answer: the request runs."""
-        if self._reservation is None or not self._sent_at:
+    def record_events(self) -> None:
+        """Record events of the answer: the request runs."""
+        if self._reservation is not None and self._sent_at:
+            self._record_first_event()
             return
+        if self._sound or self._running_since is None:
+            return
+        now = self._access.context.reactor.seconds()
+        if now - self._running_since >= SOUND_SECONDS:
+            self._record_sound_answer()
+
+    def _record_sound_answer(self) -> None:
+        self._sound = True
+        self._access.record_sound_answer()
+
+    def _record_first_event(self) -> None:
         self._reservation.release_tokens()
         access, context = self._access, self._access.context
         now = context.reactor.seconds()
@@ -148,6 +175,7 @@
         context = self._access.context
         now = context.reactor.seconds()
         if status < MIN_SERVER_ERROR_STATUS:
+            self._record_sound_answer()
             context.work.record_success(self.server, now)
             if self._running_since is not None:
                 seconds = now - self._running_since
@@ -158,7 +186,7 @@
     def record_loss(self, reason: str) -> None:
         """Record that the server's answer was lost after its head had arrived."""
         progress = "head" if self._running_since is None else "events"
-        self._access.record_loss(self.server, reason, progress)
+        self._access.record_loss(self.server, reason, progress, self._sound)
 
     def close(self) -> None:
         """Abort the current attempt and release its resources."""
@@ -195,6 +223,7 @@
         access.record_parts(server.name)
         self._sent_at = context.reactor.seconds()
         self._running_since = None
+        self._sound = False
         try:
             self._response = await access.send(terms)
         except ConnectFailedError as error:
--- a/wisteriagw/gateway/_server_access.py
+++ b/wisteriagw/gateway/_server_access.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import Deferred, TimeoutError
 
 from wisteriagw.gateway._lost_run import LostRun
+from wisteriagw.outcomes import RefusedNotRun
 from wisteriagw.placement import (
     QueueTerms,
     choose_backup,
@@ -135,6 +136,24 @@
         )
         return True
 
+    def find_quarantine(self) -> RefusedNotRun | None:
+        """Return the refusal of a prompt whose parts crash engines, or None."""
+        quarantine = self.context.crashing_parts.find_quarantine(self.caller.prompt)
+        if quarantine is None:
+            return None
+        parts = sorted(quarantine.parts)
+        left = quarantine.until - self.context.reactor.seconds()
+        self.context.log.write(
+            "quarantine_refusal",
+            request_id=self.caller.request_id,
+            service=self.service.name,
+            parts=parts,
+            age=round(quarantine.seconds - left, 3),
+            seconds_left=round(left, 3),
+        )
+        message = f"engines ended under the prompt parts {', '.join(parts)}"
+        return RefusedNotRun("crashing_prompt", message, left)
+
     def choose_backup(self, running: str) -> BackendServer | None:
         """Return the engine that keeps a copy of the run, or None if none does.
 
@@ -233,11 +252,19 @@
         )
         self.context.pending_updates.add_parts(server, new_parts)
 
-    def record_loss(self, server: str, reason: str, progress: str) -> None:
+    def record_sound_answer(self) -> None:
+        """Record that an engine ran on after it had begun the answer."""
+        if self.caller.prompt is not None:
+            parts = self.caller.prompt.list_shared_parts()
+            self.context.crashing_parts.record_sound_answer(parts)
+
+    def record_loss(
+        self, server: str, reason: str, progress: str, sound: bool = False
+    ) -> None:
         """Record that the answer of a server was lost with its connection."""
         prompt = self.caller.prompt
         parts = () if prompt is None else prompt.list_shared_parts()
-        run = LostRun(self.caller.request_id, progress, parts)
+        run = LostRun(self.caller.request_id, progress, parts, sound)
         self.context.crash_detector.record_loss(server, run)
         self.record_failure(server, reason, progress=progress, parts=parts)
 
--- a/wisteriagw/gateway/_update_exchange.py
+++ b/wisteriagw/gateway/_update_exchange.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
+from wisteriagw.gateway._crash_report_exchange import CrashReportExchange
 from wisteriagw.gateway._delta_queue import DeltaQueue
 from wisteriagw.gateway._initial_state_transfer import InitialStateTransfer
 from wisteriagw.gateway._members import LIVENESS_TIMEOUT_SECONDS
@@ -90,6 +91,9 @@
             copies,
             self._initial_state,
         )
+        self._crash_reports = CrashReportExchange(
+            mesh, context.crashing_parts, context.reactor.seconds
+        )
         set_confirmation_age(context)
 
     @property
@@ -116,6 +120,7 @@
         set_read_waits(self._context, bool(peers.served_vms))
         self._members.set_relay(peers.is_relay)
         self._sender.send(peers, now)
+        self._crash_reports.send(peers, now)
         self._initial_state.send()
 
     def announce_unavailable(self, server: str, seconds: float) -> None:
--- a/wisteriagw/messages/__init__.py
+++ b/wisteriagw/messages/__init__.py
@@ -7,6 +7,7 @@
 from wisteriagw.messages._config_records import ConfigRecords
 from wisteriagw.messages._config_request import ConfigRequest
 from wisteriagw.messages._config_snapshot import ConfigSnapshot
+from wisteriagw.messages._crash_reports import CrashReports
 from wisteriagw.messages._digest_push import DigestPush
 from wisteriagw.messages._fleet_update import FleetUpdate
 from wisteriagw.messages._gateway_update import GatewayUpdate
@@ -23,6 +24,7 @@
     "ConfigRecords",
     "ConfigRequest",
     "ConfigSnapshot",
+    "CrashReports",
     "DigestPush",
     "FleetUpdate",
     "GatewayUpdate",
