End no stream inside an event

A stream whose body ended inside an event, by its last chunk or with its connection, was passed on to its end and looked complete to the caller. The platform states that such a stream has been broken off. The rest is now dropped and the stream treated as lost: resumed after its last whole event where its route allows it, aborted otherwise. Line breaks after the last event are still passed on.

--- a/wisteriagw/gateway/_request_exchange.py
+++ b/wisteriagw/gateway/_request_exchange.py
@@ -32,6 +32,7 @@
 # Callers honour a Retry-After of up to a third of their remaining time.
 RETRY_AFTER_FRACTION = 0.25
 MAX_RETRY_AFTER_SECONDS = 0.3
+LINE_BREAKS = b"\r\n"
 
 
 class RequestExchange:
@@ -172,9 +173,12 @@
                 responder.start(outcome.head.status, filter_headers(outcome.head))
             responder.write(events)
             await responder.wait_writable()
+        rest = self._splitter.pop_incomplete()
+        if rest.strip(LINE_BREAKS):
+            raise ResponseLostError("the stream ended inside an event")
         if not responder.started:
             responder.start(outcome.head.status, filter_headers(outcome.head))
-        responder.write(self._splitter.pop_incomplete())
+        responder.write(rest)
         responder.end()
         self._forwarder.record_answer(outcome.head.status)
         self._finish("done", outcome.head.status)
