Keep an answer that is no event stream out of a begun stream

After a stream had begun and broken off, a next engine that answered with status 200 and an error text in JSON had that text written into the caller's stream, which then ended as complete. An answer with another type than text/event-stream is now read as a whole: it is the answer of a request that has none yet, and ends a begun stream as broken off.

test_error_text_with_status_200_stays_out_of_the_stream failed before the change.

--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -86,3 +86,21 @@
         response.handle_end()
         assert responder.body == EVENT % 1
         assert responder.aborted
+
+    def test_error_text_with_status_200_stays_out_of_the_stream(self) -> None:
+        gateway = GatewayFixture()
+        responder = self.break_off(gateway)
+        sent = gateway.pool.sent[1]
+        sent.start(200, content_type="application/json")
+        sent.response.handle_part(b'{"error": "text"}\r\n\r\n')
+        sent.response.handle_end()
+        assert responder.body == EVENT % 1
+        assert responder.aborted
+
+    def test_answer_without_events_is_forwarded_whole(self) -> None:
+        gateway = GatewayFixture()
+        responder = gateway.request("long", prompt=self.PROMPT)
+        body = b'{"error": "text"}'
+        gateway.pool.sent[0].reply(200, body, content_type="application/json")
+        assert (responder.status, responder.body) == (200, body)
+        assert responder.ended and not responder.aborted
--- a/wisteriagw/gateway/_request_exchange.py
+++ b/wisteriagw/gateway/_request_exchange.py
@@ -17,7 +17,7 @@
 from wisteriagw.gateway._server_access import ServerAccess
 from wisteriagw.outcomes import Answering, MayHaveRun, RefusedNotRun
 from wisteriagw.placement import spread_return
-from wisteriagw.platform import encode_refusal, filter_headers
+from wisteriagw.platform import encode_refusal, filter_headers, is_event_stream
 from wisteriagw.retries import Attempts, decide_retry, record_attempt
 
 if TYPE_CHECKING:
@@ -138,7 +138,7 @@
         """Forward an answer; return an outcome if another attempt may follow."""
         head, response = outcome.head, outcome.response
         try:
-            if self._route.streaming and head.status == 200:
+            if self._route.streaming and head.status == 200 and is_event_stream(head):
                 return await self._forward_stream(outcome)
             limits = self._context.configuration.table.limits
             body = await response.read_body(limits.max_body_bytes)
--- a/wisteriagw/platform/__init__.py
+++ b/wisteriagw/platform/__init__.py
@@ -33,6 +33,7 @@
     decode_handle,
     encode_refusal,
     filter_headers,
+    is_event_stream,
     is_genuine,
     reports_not_run,
 )
@@ -83,6 +84,7 @@
     "encode_refusal",
     "filter_headers",
     "is_done",
+    "is_event_stream",
     "is_genuine",
     "is_none_available",
     "is_unknown",
--- a/wisteriagw/platform/_responses.py
+++ b/wisteriagw/platform/_responses.py
@@ -11,6 +11,7 @@
 REQUEST_ID = b"x-wisteriagw-request-id"
 SERVER_STAMP = b"x-wisteriagw-server-stamp"
 NOT_EXECUTED = b"x-wisteriagw-not-executed"
+EVENT_STREAM = b"text/event-stream"
 MISDIRECTED = 421
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -45,6 +46,12 @@
     return head.find_header(SERVER_STAMP) is not None
 
 
+def is_event_stream(head: ResponseHead) -> bool:
+    """Return whether a response carries events, which a missing type permits."""
+    content_type = head.find_header(b"content-type")
+    return content_type is None or content_type.lower().startswith(EVENT_STREAM)
+
+
 def filter_headers(head: ResponseHead) -> tuple[tuple[bytes, bytes], ...]:
     """Return the headers of a response that are forwarded to the caller."""
     return tuple(pair for pair in head.headers if pair[0] not in HOP_BY_HOP_HEADERS)
