Treat a stream without any event as lost

An engine that ended before its first event looked like a complete answer where the answer has neither a length nor chunks: callers got status 200 and an empty body, and the parts of its prompt counted as sound. A stream that no event was passed on of, and that resumes none, is now lost, which repeats it where its route allows that.

Two tests failed before the change. A head that is cut anywhere, by a close or a reset, was already no response; tests over each length of three heads show it.

--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -104,3 +104,27 @@
         gateway.pool.sent[0].reply(200, body, content_type="application/json")
         assert (responder.status, responder.body) == (200, body)
         assert responder.ended and not responder.aborted
+
+    def test_stream_without_any_event_is_not_complete(self) -> None:
+        gateway = GatewayFixture()
+        responder = gateway.request("ask", prompt="300,50")
+        gateway.pool.sent[0].reply(200)
+        assert responder.status == 502
+
+    def test_engine_that_ends_without_an_event_is_a_suspect(self) -> None:
+        """An answer that ends with its connection has no other sign of a crash."""
+        gateway = GatewayFixture()
+        gateway.request("ask", prompt="300,50")
+        sent = gateway.pool.sent[0]
+        gateway.pool.refusing.add(sent.address)
+        sent.reply(200)
+        assert gateway.crashing_parts.reports.pop(gateway.clock.seconds()).crashes
+
+    def test_resumed_stream_may_have_no_further_event(self) -> None:
+        gateway = GatewayFixture()
+        responder = gateway.request(
+            "long", (b"last-event-id", b"7"), prompt=self.PROMPT
+        )
+        gateway.pool.sent[0].reply(200)
+        assert responder.status == 200
+        assert responder.ended and not responder.aborted
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -252,6 +252,24 @@
         connection.connectionLost(Failure(ConnectionDone()))
         assert body[0].check(ResponseLostError)
 
+    @pytest.mark.parametrize("reason", [ConnectionDone(), ConnectionLost()])
+    @pytest.mark.parametrize(
+        "head",
+        [
+            b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 100\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\n",
+        ],
+    )
+    def test_head_that_is_cut_anywhere_is_no_response(self, head, reason) -> None:
+        for length in range(1, len(head)):
+            connection, _ = self.connect()
+            body = collect(self.send(connection).read_body())
+            connection.dataReceived(head[:length])
+            connection.connectionLost(Failure(reason))
+            assert body[0].check(ResponseLostError), head[:length]
+            assert self.released == []
+
     def test_invalid_response_is_lost(self) -> None:
         connection, transport = self.connect()
         body = collect(self.send(connection).read_body())
--- a/wisteriagw/gateway/_request_exchange.py
+++ b/wisteriagw/gateway/_request_exchange.py
@@ -176,6 +176,8 @@
         rest = self._splitter.pop_incomplete()
         if rest.strip(LINE_BREAKS):
             raise ResponseLostError("the stream ended inside an event")
+        if self._splitter.last_id is None and not responder.started:
+            raise ResponseLostError("the stream ended without an event")
         if not responder.started:
             responder.start(outcome.head.status, filter_headers(outcome.head))
         responder.write(rest)
