Believe a refusal only if it bears the request's id

A faulty server may write an earlier refusal once more on a kept connection. One without an id was taken for the refusal of the next request there, which the server was running: callers were told that it had not run, or it was sent to a second server. A refusal without the own id now proves nothing. Prefill and run of one request have the same id, so a connection whose last response would be accepted is passed over, and calls (orders, reports, the store) have connections of their own.

test_refusal_without_the_own_id_may_be_one_of_another_request and test_repeated_refusal_is_not_taken_for_that_of_a_later_attempt failed before the change. The assertions of test_only_stated_responses_did_not_run now pass the id: a 421 without one was taken for a refusal, which was the fault.

--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -5,10 +5,11 @@
 import pytest
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionDone, ConnectionLost
-from twisted.internet.testing import StringTransport
+from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
 from wisteriagw.connections import (
+    ConnectionPool,
     HttpRequest,
     ResponseLostError,
     ServerFactory,
@@ -295,3 +296,66 @@
             b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n"
         )
         assert connection.idle_seconds < 4.0
+
+
+class TestConnectionPool:
+    """A response that a faulty server sends once more must reach no later request."""
+
+    ADDRESS = ("10.0.0.1", 80)
+    REFUSAL = b"HTTP/1.1 503 No\r\nX-Id: %b\r\nContent-Length: 0\r\n\r\n"
+
+    def build(self) -> ConnectionPool:
+        self.reactor = MemoryReactorClock()
+        self.connections: list = []
+        return ConnectionPool(self.reactor)
+
+    def send(self, pool: ConnectionPool, request_id: bytes, any_head: bool = False):
+        request = HttpRequest(b"GET", b"/", ((b"host", b"a"), (b"x-id", request_id)))
+        sending = pool.send(
+            self.ADDRESS,
+            request,
+            None if any_head else lambda head: head.find_header(b"x-id") == request_id,
+        )
+        results = collect(sending)
+        if not results:
+            factory = self.reactor.tcpClients[-1][2]
+            connection = factory.buildProtocol(None)
+            connection.makeConnection(ClosableTransport())
+            self.connections.append(connection)
+        return results[0]
+
+    def reply(self, number: int, request_id: bytes) -> None:
+        data = self.REFUSAL % request_id
+        self.connections[number].dataReceived(data)
+
+    def test_connection_is_reused_for_another_request(self) -> None:
+        pool = self.build()
+        self.send(pool, b"r1")
+        self.reply(0, b"r1")
+        self.send(pool, b"r2")
+        assert pool.opened == 1
+
+    def test_repeated_refusal_is_not_taken_for_that_of_a_later_attempt(self) -> None:
+        """Prefill and run of one request have the same id."""
+        pool = self.build()
+        self.send(pool, b"r1")
+        self.reply(0, b"r1")
+        head = collect(self.send(pool, b"r1").read_head())
+        self.reply(0, b"r1")
+        assert head == []
+        assert pool.opened == 2
+
+    def test_connection_that_is_passed_over_serves_other_requests(self) -> None:
+        pool = self.build()
+        self.send(pool, b"r1")
+        self.reply(0, b"r1")
+        self.send(pool, b"r1")
+        self.send(pool, b"r2")
+        assert pool.opened == 2
+
+    def test_calls_reuse_their_connection(self) -> None:
+        pool = self.build()
+        for _ in range(3):
+            self.send(pool, b"call", any_head=True)
+            self.reply(0, b"call")
+        assert pool.opened == 1
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tests.support._gateway_fixture import GatewayFixture
+from wisteriagw.connections import ResponseHead
 
 EVENT = b"id: %d\ndata: x\n\n"
 
@@ -64,6 +65,16 @@
         assert b"retry-after" in responder.headers
         assert gateway.count_usage() == 0
 
+    def test_refusal_without_the_own_id_may_be_one_of_another_request(self) -> None:
+        """The server may be running the request, so it is neither refused nor sent."""
+        gateway = GatewayFixture()
+        responder = gateway.request("unsafe")
+        stated = ((b"x-wisteriagw-not-executed", b"1"),)
+        gateway.pool.sent[0].response.handle_head(ResponseHead(503, stated))
+        gateway.pool.sent[0].response.handle_end()
+        assert responder.status == 502
+        assert len(gateway.pool.sent) == 1
+
     def test_503_without_not_executed_may_have_run(self) -> None:
         gateway = GatewayFixture()
         responder = gateway.request("unsafe")
@@ -75,8 +86,6 @@
         gateway = GatewayFixture()
         responder = gateway.request("unsafe")
         sent = gateway.pool.sent[0]
-        from wisteriagw.connections import ResponseHead
-
         head = ((b"x-wisteriagw-request-id", b"r1"),)
         sent.response.handle_head(ResponseHead(200, head))
         sent.response.handle_end()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -376,10 +376,19 @@
 
     def test_only_stated_responses_did_not_run(self) -> None:
         stated = ((b"x-wisteriagw-not-executed", b"1"),)
-        assert reports_not_run(ResponseHead(503, stated))
-        assert reports_not_run(ResponseHead(421, ()))
-        assert not reports_not_run(ResponseHead(503, ()))
-        assert not reports_not_run(ResponseHead(500, ()))
+        own = (b"x-wisteriagw-request-id", b"r1")
+        assert reports_not_run(ResponseHead(503, (own, *stated)), b"r1")
+        assert reports_not_run(ResponseHead(421, (own,)), b"r1")
+        assert not reports_not_run(ResponseHead(503, (own,)), b"r1")
+        assert not reports_not_run(ResponseHead(500, (own,)), b"r1")
+
+    @pytest.mark.parametrize(
+        "headers", [(), ((b"x-wisteriagw-request-id", b"r0"),)], ids=["none", "other"]
+    )
+    def test_refusal_without_the_own_id_states_nothing(self, headers) -> None:
+        stated = ((b"x-wisteriagw-not-executed", b"1"), *headers)
+        assert not reports_not_run(ResponseHead(503, stated), b"r1")
+        assert not reports_not_run(ResponseHead(421, headers), b"r1")
 
     @pytest.mark.parametrize("body", [b"", b"[]", b"{}", b'{"kv_handle": 3}', b"\xff"])
     def test_body_without_a_valid_handle_gives_none(self, body: bytes) -> None:
--- a/wisteriagw/connections/_call.py
+++ b/wisteriagw/connections/_call.py
@@ -12,7 +12,6 @@
     from wisteriagw.connections._connection_pool import ConnectionPool
     from wisteriagw.connections._http_request import HttpRequest
     from wisteriagw.connections._response import Response
-    from wisteriagw.connections._response_head import ResponseHead
     from wisteriagw.outcomes import Outcome
 
 
@@ -31,7 +30,7 @@
         """Send the request, read the response and return the outcome."""
         try:
             self.response = await self._pool.send(
-                self._address, self._request, _accept_any
+                self._address, self._request, accepts=None
             )
         except ConnectFailedError as error:
             return FailedNotRun(str(error))
@@ -44,7 +43,3 @@
             self.response.abort()
         content_type = head.find_header(b"content-type") or b""
         return Done(head.status, body, content_type.decode("latin-1"))
-
-
-def _accept_any(head: ResponseHead) -> bool:
-    return True
--- a/wisteriagw/connections/_client_connection.py
+++ b/wisteriagw/connections/_client_connection.py
@@ -40,6 +40,11 @@
         ``release(connection)`` is called when it can take another request.
     on_close : callable
         ``on_close(connection)`` is called when it is closed.
+
+    Attributes
+    ----------
+    last_head : ResponseHead or None
+        Head of the last response, which a faulty server may send once more.
     """
 
     def __init__(
@@ -47,6 +52,7 @@
         release: Callable[[ClientConnection], None],
         on_close: Callable[[ClientConnection], None],
     ) -> None:
+        self.last_head: ResponseHead | None = None
         self.idle_seconds = DEFAULT_IDLE_SECONDS
         self.response: Response | None = None
         self.skipping = False
@@ -200,6 +206,7 @@
 @handle_event.register(h11.Response)
 def _(event: h11.Response, connection: ClientConnection) -> None:
     head = ResponseHead(event.status_code, tuple(event.headers))
+    connection.last_head = head
     if not connection.response.accepts(head):
         connection.skipping = True
         connection.count_other_response()
--- a/wisteriagw/connections/_connection_pool.py
+++ b/wisteriagw/connections/_connection_pool.py
@@ -44,14 +44,19 @@
         self,
         address: tuple[str, int],
         request: HttpRequest,
-        accepts: Callable[[ResponseHead], bool],
+        accepts: Callable[[ResponseHead], bool] | None,
         connect_timeout: float = CONNECT_TIMEOUT_SECONDS,
     ) -> Response:
-        """Send a request; raises ConnectFailedError if nothing was sent."""
-        connection = self._pop_idle(address)
+        """Send a request; raises ConnectFailedError if nothing was sent.
+
+        ``accepts`` tells whether a response belongs to the request; None accepts any. A
+        connection whose last response would be accepted is not reused: a faulty server
+        may send that response once more.
+        """
+        connection = self._pop_idle(address, accepts)
         if connection is None:
             connection = await self._connect(address, connect_timeout)
-        return connection.send(request, accepts)
+        return connection.send(request, accepts or _accept_any)
 
     async def probe(self, address: tuple[str, int]) -> Reachability:
         """Open a connection to an address, and keep it if it is accepted."""
@@ -87,15 +92,27 @@
         for _, connection in self._idle.pop(address, ()):
             connection.close()
 
-    def _pop_idle(self, address: tuple[str, int]) -> ClientConnection | None:
+    def _pop_idle(
+        self,
+        address: tuple[str, int],
+        accepts: Callable[[ResponseHead], bool] | None,
+    ) -> ClientConnection | None:
         now = self._reactor.seconds()
-        idle = self._idle.get(address)
-        while idle:
+        idle = self._idle.get(address, [])
+        kept = []
+        found = None
+        while idle and found is None:
             until, connection = idle.pop()
-            if not connection.closed and now < until:
-                return connection
-            connection.close()
-        return None
+            if connection.closed or now >= until:
+                connection.close()
+                continue
+            last_head = connection.last_head
+            if accepts is not None and last_head is not None and accepts(last_head):
+                kept.append((until, connection))
+                continue
+            found = connection
+        idle.extend(reversed(kept))
+        return found
 
     async def _connect(
         self, address: tuple[str, int], timeout: float
@@ -132,3 +149,7 @@
         idle = self._idle.get(address)
         if idle:
             self._idle[address] = [pair for pair in idle if pair[1] is not connection]
+
+
+def _accept_any(head: ResponseHead) -> bool:
+    return True
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -74,7 +74,9 @@
         incarnation = secrets.token_hex(INCARNATION_BYTES)
         wall_clock = SteadyWallClock(read_wall_time, reactor.seconds).read
         pool = ConnectionPool(reactor)
-        calls = CallClient(reactor, pool)
+        # A late response to a request must not be taken for that to a call.
+        self._call_pool = ConnectionPool(reactor)
+        calls = CallClient(reactor, self._call_pool)
         store = StoreClient(calls, settings.store)
         self._mesh = Mesh(reactor, settings.vm)
         self.context = self._build_context(store, pool, wall_clock)
@@ -233,6 +235,7 @@
     def _remove_server(self, server: BackendServer) -> None:
         self.context.work.remove_server(server.name)
         self.context.pool.close_address(server.address)
+        self._call_pool.close_address(server.address)
 
     def _write_lost_usage(self) -> Deferred[None]:
         cycle = self._lost_usage.run_cycle(self._reactor.seconds())
@@ -241,6 +244,7 @@
     def _sweep(self) -> None:
         context = self.context
         context.pool.close_idle()
+        self._call_pool.close_idle()
         self._copies.prune(context.usage.get_window())
         self._front.close_idle()
         self._directory.close_idle()
--- a/wisteriagw/gateway/_prompt_prefill.py
+++ b/wisteriagw/gateway/_prompt_prefill.py
@@ -128,7 +128,7 @@
         self, address: tuple[str, int], request: HttpRequest
     ) -> None:
         pool = self._access.context.pool
-        response = await pool.send(address, request, lambda head: True)
+        response = await pool.send(address, request, accepts=None)
         try:
             await response.read_body()
         finally:
--- a/wisteriagw/gateway/_request_forwarder.py
+++ b/wisteriagw/gateway/_request_forwarder.py
@@ -12,7 +12,6 @@
 from wisteriagw.gateway._work_reservation import WorkReservation
 from wisteriagw.outcomes import Answering, FailedNotRun, MayHaveRun, RefusedNotRun
 from wisteriagw.placement import Plan
-from wisteriagw.platform import reports_not_run
 
 if TYPE_CHECKING:
     from wisteriagw.connections import Response, ResponseHead
@@ -241,7 +240,7 @@
         return self._classify_answer(head, terms)
 
     def _classify_answer(self, head: ResponseHead, terms: ForwardingTerms) -> Outcome:
-        if reports_not_run(head):
+        if self._access.reports_not_run(head):
             self.in_flight = False
             if head.status != MISDIRECTED_STATUS:
                 reason = f"refused with status {head.status}"
--- a/wisteriagw/gateway/_server_access.py
+++ b/wisteriagw/gateway/_server_access.py
@@ -23,6 +23,7 @@
     belongs_to,
     encode_forwarded,
     is_genuine,
+    reports_not_run,
 )
 
 if TYPE_CHECKING:
@@ -219,6 +220,10 @@
                 if self.caller.prompt is None or not busy:
                     raise
 
+    def reports_not_run(self, head: ResponseHead) -> bool:
+        """Return whether an answer states that the request was not executed."""
+        return reports_not_run(head, self._request_id)
+
     def is_genuine(self, head: ResponseHead) -> bool:
         """Return whether an answer was made by a backend server for the request."""
         return is_genuine(head, self._request_id)
--- a/wisteriagw/platform/_responses.py
+++ b/wisteriagw/platform/_responses.py
@@ -32,8 +32,14 @@
     return found is None or found == request_id
 
 
-def reports_not_run(head: ResponseHead) -> bool:
-    """Return whether a response states that the request was not executed."""
+def reports_not_run(head: ResponseHead, request_id: bytes) -> bool:
+    """Return whether a response states that a request was not executed.
+
+    One without the request's id proves nothing: it may be a repeated refusal of another
+    request.
+    """
+    if head.find_header(REQUEST_ID) != request_id:
+        return False
     return head.find_header(NOT_EXECUTED) is not None or head.status == MISDIRECTED
 
 
