Keep quarantines in the store

After the loss of all VMs the quarantine of a prompt part was forgotten, and the part ended five more engines before it was found again. The holder of the authority now writes the quarantines when they change, as one record, and a process that starts reads them; a part keeps its quarantine until its end.

--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -2,11 +2,19 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 import pytest
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
 
 from tests.support._gateway_fixture import GatewayFixture
 from tests.support._simulated_fleet import SimulatedFleet
+from wisteriagw.gateway._crashing_parts import CrashingParts
+from wisteriagw.gateway._quarantine_store import READ_RETRY_SECONDS, QuarantineStore
 from wisteriagw.placement import Prompt
+from wisteriagw.platform import QUARANTINES_TOPIC
+from wisteriagw.standins import TopicStore
 
 ENGINES = 6
 FIRST_ENGINE_NUMBER = 100
@@ -266,3 +274,75 @@
         fleet.advance(3.0)
         assert "new-1" in self.list_quarantined(fleet, self.BAD)
         assert self.list_quarantined(fleet, self.SOUND) == set()
+
+
+class TestQuarantineStore:
+    """Quarantines must survive the loss of all VMs, and cost few calls."""
+
+    PROMPT = Prompt("m", 300, 20, (("bad", 100), ("own", 100)))
+    HOLDER = SimpleNamespace(get_fencing_number=lambda: 1)
+    OTHER = SimpleNamespace(get_fencing_number=lambda: None)
+    BOOT_SECONDS = 5_000.0
+
+    def build(self, store: TopicStore, clock: Clock, origin: float = 0.0):
+        """Return the state of a process whose clock counts from an origin."""
+        steady = SimpleNamespace(
+            seconds=lambda: clock.seconds() - origin, callLater=clock.callLater
+        )
+        parts = CrashingParts(steady.seconds)
+        return parts, QuarantineStore(steady, store, parts, clock.seconds)
+
+    def crash(self, parts: CrashingParts, clock: Clock) -> None:
+        for number in range(3):
+            parts.record_crash(f"engine-{number}/1", [("bad",)])
+            clock.advance(1.0)
+
+    def run(self, coroutine) -> None:
+        failures: list = []
+        Deferred.fromCoroutine(coroutine).addErrback(failures.append)
+        assert failures == []
+
+    def write_quarantine(self) -> tuple[TopicStore, Clock]:
+        store, clock = TopicStore(), Clock()
+        clock.advance(self.BOOT_SECONDS)
+        parts, quarantines = self.build(store, clock)
+        self.crash(parts, clock)
+        self.run(quarantines.write(self.HOLDER))
+        return store, clock
+
+    def test_new_process_takes_over_the_quarantine_until_its_end(self) -> None:
+        store, clock = self.write_quarantine()
+        parts, quarantines = self.build(store, clock, origin=self.BOOT_SECONDS)
+        self.run(quarantines.read())
+        assert parts.find_quarantine(self.PROMPT) is not None
+        clock.advance(60.0)
+        assert parts.find_quarantine(self.PROMPT) is None
+
+    def test_store_that_is_down_is_read_again(self) -> None:
+        store, clock = self.write_quarantine()
+        store.down = True
+        parts, quarantines = self.build(store, clock, origin=self.BOOT_SECONDS)
+        self.run(quarantines.read())
+        clock.advance(READ_RETRY_SECONDS)
+        store.down = False
+        clock.advance(READ_RETRY_SECONDS)
+        assert parts.find_quarantine(self.PROMPT) is not None
+
+    def test_only_the_holder_writes_and_only_changes(self) -> None:
+        store, clock = TopicStore(), Clock()
+        parts, quarantines = self.build(store, clock)
+        self.run(quarantines.write(self.HOLDER))
+        self.crash(parts, clock)
+        self.run(quarantines.write(self.OTHER))
+        assert store.get_end(QUARANTINES_TOPIC) == 0
+        for _ in range(3):
+            self.run(quarantines.write(self.HOLDER))
+        assert store.get_end(QUARANTINES_TOPIC) == 1
+
+    @pytest.mark.parametrize("value", [b"x", b"{}", b"[1]", b'[["a",1]]', b""])
+    def test_record_that_is_not_valid_is_ignored(self, value: bytes) -> None:
+        store, clock = TopicStore(), Clock()
+        store.put(QUARANTINES_TOPIC, "quarantines", value)
+        parts, quarantines = self.build(store, clock)
+        self.run(quarantines.read())
+        assert parts.find_quarantine(self.PROMPT) is None
--- a/wisteriagw/gateway/_authority_duties.py
+++ b/wisteriagw/gateway/_authority_duties.py
@@ -19,6 +19,7 @@
     from wisteriagw.connections import CallClient
     from wisteriagw.gateway._context import GatewayContext
     from wisteriagw.gateway._members import Members
+    from wisteriagw.gateway._quarantine_store import QuarantineStore
     from wisteriagw.gateway._update_exchange import UpdateExchange
     from wisteriagw.platform import StoreClient
 
@@ -37,6 +38,7 @@
         exchange: UpdateExchange,
         incarnation: str,
         wall_clock: Callable[[], float],
+        quarantines: QuarantineStore,
     ) -> None:
         reactor, settings = context.reactor, context.settings
         client = DutyClient(calls, settings.duties, settings.vm)
@@ -69,6 +71,7 @@
             exchange.get_copies,
             lambda: members.entries,
         )
+        self._quarantines = quarantines
 
     def start(self) -> None:
         """Begin to compete for the authority."""
@@ -86,6 +89,7 @@
         await run_safely(self._scaler.run_cycle)
         await run_safely(self._stages.run_cycle)
         await run_safely(self._reporter.run_cycle)
+        await run_safely(lambda: self._quarantines.write(self._authority))
 
 
 async def run_safely(run_cycle: Any) -> None:
--- a/wisteriagw/gateway/_crashing_parts.py
+++ b/wisteriagw/gateway/_crashing_parts.py
@@ -73,7 +73,25 @@
         for part, age in reports.sound_answers:
             self._told_at[part] = max(now - age, self._told_at.get(part, NEVER))
             self._add_sound_answer(part, now - age)
-        self._adopt_quarantines(reports.quarantines, now)
+        self.adopt_quarantines(reports.quarantines, now)
+
+    def adopt_quarantines(self, rows: Iterable[tuple], now: float) -> None:
+        """Take over the quarantines of a relay or the store, without sound parts."""
+        for parts, first_age, age, seconds in rows:
+            first_at = now - first_age
+            left = set()
+            for part in parts:
+                sound_at = self._history.get_sound_time(part)
+                if sound_at <= first_at:
+                    left.add(part)
+                elif self._told_at.get(part, NEVER) <= first_at:
+                    self._told_at[part] = sound_at
+                    self.reports.add_sound_answer(part, sound_at)
+            offered = Quarantine(
+                frozenset(left), frozenset(), first_at, now - age, seconds
+            )
+            if left and self._quarantines.adopt(offered, now):
+                self._log_begin(offered, "adopted")
 
     def list_quarantine_rows(self, now: float) -> tuple:
         """Return the quarantines in force as rows for the peers."""
@@ -136,24 +154,6 @@
         self._told_at[part] = at
         self.reports.add_sound_answer(part, at)
 
-    def _adopt_quarantines(self, rows: Iterable[tuple], now: float) -> None:
-        """Take over the quarantines of a relay, without parts that are sound."""
-        for parts, first_age, age, seconds in rows:
-            first_at = now - first_age
-            left = set()
-            for part in parts:
-                sound_at = self._history.get_sound_time(part)
-                if sound_at <= first_at:
-                    left.add(part)
-                elif self._told_at.get(part, NEVER) <= first_at:
-                    self._told_at[part] = sound_at
-                    self.reports.add_sound_answer(part, sound_at)
-            offered = Quarantine(
-                frozenset(left), frozenset(), first_at, now - age, seconds
-            )
-            if left and self._quarantines.adopt(offered, now):
-                self._log_begin(offered, "a relay")
-
     def _update_quarantines(self, now: float) -> None:
         signatures = self._history.find_signatures()
         for entry in self._quarantines.apply_signatures(signatures, now):
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -27,6 +27,7 @@
 from wisteriagw.gateway._members import Members
 from wisteriagw.gateway._metrics import GatewayMetrics
 from wisteriagw.gateway._pending_updates import PendingUpdates
+from wisteriagw.gateway._quarantine_store import QuarantineStore
 from wisteriagw.gateway._request_handler import RequestHandler
 from wisteriagw.gateway._retry_budgets import RetryBudgets
 from wisteriagw.gateway._update_exchange import UpdateExchange
@@ -90,6 +91,9 @@
             incarnation,
             self.is_ready,
         )
+        self._quarantines = QuarantineStore(
+            reactor, store, self.context.crashing_parts, wall_clock
+        )
         self._lost_usage = LostUsageWriter(store, self._copies)
         self._duties = AuthorityDuties(
             self.context,
@@ -99,6 +103,7 @@
             self._exchange,
             incarnation,
             wall_clock,
+            self._quarantines,
         )
         self._survey = CacheSurvey(
             reactor,
@@ -136,6 +141,7 @@
         self._usage_writer.start()
         if not settings.first_start:
             self._survey.start()
+            self._quarantines.start()
         self._exchange.start()
         self._repeat(SWEEP_INTERVAL_SECONDS, self._sweep)
         self._repeat(LOST_USAGE_INTERVAL_SECONDS, self._write_lost_usage)
--- a/wisteriagw/platform/__init__.py
+++ b/wisteriagw/platform/__init__.py
@@ -47,6 +47,7 @@
     CONFIGURATION_KEY,
     CONFIGURATION_TOPIC,
     MEMBERS_TOPIC,
+    QUARANTINES_TOPIC,
     REGISTER_TOPIC,
     USAGE_TOPIC,
 )
@@ -57,6 +58,7 @@
     "CONFIGURATION_TOPIC",
     "JSON_HEADERS",
     "MEMBERS_TOPIC",
+    "QUARANTINES_TOPIC",
     "READY_PATH",
     "REGISTER_TOPIC",
     "RESOLVE_PATH",
