Send a request that lost two servers to no third one in the entry program

The same cause as in the gateway: a generation or a repeatable call that ends its server was repeated on one server after the other until the retry budget was used up. The gateway's routes bound the attempts; the entry program had no bound. After two lost servers the caller now gets 502 without another attempt. Servers that refuse or accept no connection do not count.

test_generation_that_loses_its_engines_does_not_reach_all_of_them failed before the change: it reached all five engines. test_request_may_have_run_if_one_attempt_may_have_run compares the new field too.

--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -45,7 +45,13 @@
     def test_request_may_have_run_if_one_attempt_may_have_run(self) -> None:
         attempts = record_attempt(Attempts(), "a", MayHaveRun("lost"))
         attempts = record_attempt(attempts, "b", FailedNotRun("refused"))
-        assert attempts == Attempts(("a", "b"), True)
+        assert attempts == Attempts(("a", "b"), True, lost_servers=1)
+
+    def test_request_that_lost_two_servers_goes_to_no_third(self) -> None:
+        attempts = record_attempt(Attempts(), "a", MayHaveRun("lost"))
+        attempts = record_attempt(attempts, "b", RefusedNotRun("overloaded", "full"))
+        assert attempts.may_go_on
+        assert not record_attempt(attempts, "c", MayHaveRun("lost")).may_go_on
 
 
 class TestRetryBudget:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -19,6 +19,7 @@
 from wisteriagw.backends import StreamPosition
 from wisteriagw.entry import _generation_relay
 from wisteriagw.entry._event_reader import MAX_EVENT_BYTES, EventReader
+from wisteriagw.retries import MAX_LOST_SERVERS
 
 TOKENS = 20
 END = {
@@ -174,6 +175,19 @@
         error = json.loads(recorder.data)["error"]
         self.assertEqual((response.code, error["not_run"]), (502, False))
 
+    @inlineCallbacks
+    def test_generation_that_loses_its_engines_does_not_reach_all_of_them(self) -> Any:
+        engines = [ScriptedEngine(lambda a, i: b"") for _ in range(5)]
+        for name, engine in zip("abcde", engines, strict=True):
+            self.fleet.serve(name, engine)
+        (address,) = self.fleet.start_entries(1)
+        response, recorder = yield self.fleet.chat(address, TOKENS, stream=True)
+        yield recorder.finished
+        error = json.loads(recorder.data)["error"]
+        self.assertEqual((response.code, error["not_run"]), (502, False))
+        reached = sum(bool(engine.opened) for engine in engines)
+        self.assertEqual(reached, MAX_LOST_SERVERS)
+
     @inlineCallbacks
     def test_cut_connections_are_resumed_at_the_same_engine(self) -> Any:
         engine = self.fleet.serve_engine("a")
--- a/wisteriagw/entry/_generation_relay.py
+++ b/wisteriagw/entry/_generation_relay.py
@@ -312,7 +312,7 @@
         self._attempts = record_attempt(self._attempts, self._backend_server, outcome)
         # A generation may run twice, but its tokens must not be sent twice.
         decision = self._context.retries.decide(outcome, True, self._plan.deadline)
-        return decision.retry
+        return decision.retry and self._attempts.may_go_on
 
     def _refuse(self, result: Any) -> None:
         if self._closed:
--- a/wisteriagw/entry/_service_call.py
+++ b/wisteriagw/entry/_service_call.py
@@ -106,7 +106,7 @@
                 return outcome
             attempts = record_attempt(attempts, chosen, outcome)
             decision = context.retries.decide(outcome, idempotent, self._deadline)
-            if not decision.retry:
+            if not decision.retry or not attempts.may_go_on:
                 break
         if attempts.may_have_run:
             return MayHaveRun(describe_outcome(outcome))
--- a/wisteriagw/retries/__init__.py
+++ b/wisteriagw/retries/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from wisteriagw.retries._attempts import Attempts, record_attempt
+from wisteriagw.retries._attempts import MAX_LOST_SERVERS, Attempts, record_attempt
 from wisteriagw.retries._decision import decide_retry
 from wisteriagw.retries._retry_budget import (
     RetryBudget,
@@ -19,6 +19,7 @@
 from wisteriagw.retries._stream_step import StreamStep
 
 __all__ = [
+    "MAX_LOST_SERVERS",
     "Attempts",
     "RetryBudget",
     "RetryDecision",
--- a/wisteriagw/retries/_attempts.py
+++ b/wisteriagw/retries/_attempts.py
@@ -10,6 +10,11 @@
     from wisteriagw.outcomes import Outcome
 
 
+# A request that loses its connection at two servers may be what ends them: it goes to
+# no third one, whatever the retry budget allows.
+MAX_LOST_SERVERS = 2
+
+
 class Attempts(NamedTuple):
     """Results of the earlier attempts of a request.
 
@@ -20,17 +25,27 @@
     may_have_run : bool
         Whether any attempt may have run. It stays true regardless of later attempts,
         because ``not_run`` in an answer covers the whole request.
+    lost_servers : int
+        Attempts that ended without a response although the request was sent.
     """
 
     excluded: tuple[str, ...] = ()
     may_have_run: bool = False
+    lost_servers: int = 0
+
+    @property
+    def may_go_on(self) -> bool:
+        """Whether another server may be tried after those that were lost."""
+        return self.lost_servers < MAX_LOST_SERVERS
 
 
 def record_attempt(
     attempts: Attempts, backend_server: str, outcome: Outcome
 ) -> Attempts:
     """Return the attempts with one more failed attempt."""
+    lost = isinstance(outcome, MayHaveRun)
     return Attempts(
         (*attempts.excluded, backend_server),
-        attempts.may_have_run or isinstance(outcome, MayHaveRun),
+        attempts.may_have_run or lost,
+        attempts.lost_servers + lost,
     )
