Count the crashes of a repeated request one by one

Crashes within 0.2 s counted as one, because a data centre takes several engines at once. Over a fast network a request and its repeat end two engines within that time, so three requests ended six engines before their part was quarantined. A crash now counts by itself if the request came to the engine after the crash before, which requests on engines of a lost data centre did not. The crash is dated by the loss of the first answer instead of the end of the probe.

test_repeats_that_end_engines_at_once_count_each covers it.

--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -21,9 +21,15 @@
 CRASHED_AT = {f"c{number}": float(number) for number in range(10)}
 
 
-def list_parts(suspects, crashed_at=CRASHED_AT, answered=()) -> list[set[str]]:
-    """Return the parts of each signature."""
-    return [set(one.parts) for one in find_signatures(suspects, crashed_at, answered)]
+def list_parts(
+    suspects, crashed_at=CRASHED_AT, answered=(), open_seconds: float = 0.5
+) -> list[set[str]]:
+    """Return the parts of each signature, of requests open for some time."""
+    came_at = {
+        part: {crash: crashed_at[crash] - open_seconds for crash in crashes}
+        for part, crashes in suspects.items()
+    }
+    return [set(one.parts) for one in find_signatures(came_at, crashed_at, answered)]
 
 
 def build_quarantine(*parts: str, began_at: float = 0.0) -> Quarantine:
@@ -59,13 +65,18 @@
         crashed_at = {f"c{number}": number * 0.05 for number in range(5)}
         assert list_parts({"common": set(crashed_at)}, crashed_at) == []
 
+    def test_repeats_that_end_engines_at_once_count_each(self) -> None:
+        crashed_at = {f"c{number}": number * 0.05 for number in range(3)}
+        suspects = {"bad": set(crashed_at)}
+        assert list_parts(suspects, crashed_at, open_seconds=0.04) == [{"bad"}]
+
 
 class TestCrashHistory:
     """Evidence must be cleared by sound answers, and its memory must stay bounded."""
 
     def crash(self, history: CrashHistory, part: str, times) -> None:
         for at in times:
-            history.add_crash(f"{part}{at}", at, (part,))
+            history.add_crash(f"{part}{at}", at, (part,), at - 0.5)
 
     def test_sound_answer_clears_the_crashes_before_it(self) -> None:
         history = CrashHistory()
@@ -82,8 +93,8 @@
 
     def test_crash_is_dated_by_its_first_report(self) -> None:
         history = CrashHistory()
-        history.add_crash("c", 3.0, ("a",))
-        history.add_crash("c", 2.0, ("p",))
+        history.add_crash("c", 3.0, ("a",), 1.5)
+        history.add_crash("c", 2.0, ("p",), 1.5)
         history.add_sound_answer("p", 2.5)
         assert history.count_crashes("p") == 0
 
@@ -96,7 +107,8 @@
     def test_memory_is_bounded(self) -> None:
         history = CrashHistory()
         for number in range(2 * MAX_PARTS):
-            history.add_crash(f"c{number}", float(number), (f"p{number}", "x" * 1_000))
+            parts = (f"p{number}", "x" * 1_000)
+            history.add_crash(f"c{number}", float(number), parts, 0.0)
             history.add_sound_answer(f"s{number}", float(number))
         for kept in (history._suspects, history._sound_at, history._last_crash_at):
             assert len(kept) <= MAX_PARTS
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -232,8 +232,10 @@
 
     def crash_once_per_vm(self, fleet: SimulatedFleet, vms: list[str]) -> None:
         for number, vm in enumerate(vms):
-            crashing_parts = fleet.gateways[vm].crashing_parts
-            crashing_parts.record_crash(f"engine-{number}/1", [("lead", "bad")])
+            gateway = fleet.gateways[vm]
+            now = gateway.clock.seconds()
+            runs = [(("lead", "bad"), now - 0.5)]
+            gateway.crashing_parts.record_crash(f"engine-{number}/1", runs, now)
             fleet.advance(1.0)
 
     def list_quarantined(self, fleet: SimulatedFleet, prompt: Prompt) -> set[str]:
@@ -294,7 +296,8 @@
 
     def crash(self, parts: CrashingParts, clock: Clock) -> None:
         for number in range(3):
-            parts.record_crash(f"engine-{number}/1", [("bad",)])
+            runs = [(("bad",), float(number))]
+            parts.record_crash(f"engine-{number}/1", runs, number + 0.5)
             clock.advance(1.0)
 
     def run(self, coroutine) -> None:
--- a/wisteriagw/crashes/_crash_history.py
+++ b/wisteriagw/crashes/_crash_history.py
@@ -31,12 +31,24 @@
 
     def __init__(self) -> None:
         self._crashed_at: OrderedDict[str, float] = OrderedDict()
-        self._suspects: OrderedDict[str, set[str]] = OrderedDict()
+        self._suspects: OrderedDict[str, dict[str, float]] = OrderedDict()
         self._sound_at: OrderedDict[str, float] = OrderedDict()
         self._last_crash_at: OrderedDict[str, float] = OrderedDict()
 
-    def add_crash(self, crash: str, at: float, parts: Iterable[str]) -> None:
-        """Record parts that were open at a crash, unless they were answered since."""
+    def add_crash(
+        self, crash: str, at: float, parts: Iterable[str], came_at: float
+    ) -> None:
+        """Record parts that were open at a crash, unless they were answered since.
+
+        Parameters
+        ----------
+        crash : str
+            Name of the crash.
+        at, came_at : float
+            Times of the crash and of the arrival of the request with the parts.
+        parts : iterable of str
+            Parts of one request.
+        """
         known = self._crashed_at.pop(crash, at)
         self._crashed_at[crash] = min(at, known)
         for part in parts:
@@ -46,7 +58,8 @@
             self._last_crash_at[part] = max(at, last)
             if self.get_sound_time(part) >= self._crashed_at[crash]:
                 continue
-            self._suspects.setdefault(part, set()).add(crash)
+            crashes = self._suspects.setdefault(part, {})
+            crashes[crash] = max(came_at, crashes.get(crash, came_at))
             self._suspects.move_to_end(part)
         self._trim()
 
@@ -60,9 +73,9 @@
         crashes = self._suspects.get(part)
         if crashes is None:
             return
-        crashes.difference_update(
-            [crash for crash in crashes if self._crashed_at[crash] <= at]
-        )
+        for crash in list(crashes):
+            if self._crashed_at[crash] <= at:
+                del crashes[crash]
         if not crashes:
             del self._suspects[part]
 
@@ -104,6 +117,6 @@
     def _forget_crash(self, crash: str) -> None:
         del self._crashed_at[crash]
         for part, crashes in list(self._suspects.items()):
-            crashes.discard(crash)
+            crashes.pop(crash, None)
             if not crashes:
                 del self._suspects[part]
--- a/wisteriagw/crashes/_signature_search.py
+++ b/wisteriagw/crashes/_signature_search.py
@@ -12,13 +12,14 @@
 # A part that is open at one or two crashes is likely there by chance: a lost engine has
 # many prompts open, and a retry of one of them may meet the next crash.
 MIN_CRASHES = 3
-# Crashes within this time count as one. A data centre or a rack takes several engines
-# at once, and a common part is then open on each of them.
+# Crashes within this time count as one, unless the request came to the engine after the
+# crash before. A data centre or a rack takes several engines at once, and a common part
+# is then open on each of them.
 SIMULTANEOUS_SECONDS = 0.2
 
 
 def find_signatures(
-    suspects: Mapping[str, Collection[str]],
+    suspects: Mapping[str, Mapping[str, float]],
     crashed_at: Mapping[str, float],
     answered: Collection[str] = (),
 ) -> list[Signature]:
@@ -30,7 +31,8 @@
     Parameters
     ----------
     suspects : mapping
-        Crashes by part that have happened since the part's last sound answer.
+        Crashes by part that have happened since the part's last sound answer, with the
+        time at which a request with the part came to the engine.
     crashed_at : mapping
         Time of each crash in seconds.
     answered : collection of str
@@ -43,7 +45,7 @@
     }
     signatures = []
     while True:
-        best = find_best(left, crashed_at, answered)
+        best = find_best(left, suspects, crashed_at, answered)
         if best is None:
             return signatures
         crashes = left[best]
@@ -58,15 +60,16 @@
 
 
 def find_best(
-    suspects: Mapping[str, frozenset[str]],
+    left: Mapping[str, frozenset[str]],
+    suspects: Mapping[str, Mapping[str, float]],
     crashed_at: Mapping[str, float],
     answered: Collection[str],
 ) -> str | None:
     """Return the part that explains most crashes, or None if none explains enough."""
     best, best_rank = None, (False, 0)
-    for part in sorted(suspects):
-        crashes = suspects[part]
-        times = (crashed_at[crash] for crash in crashes)
+    for part in sorted(left):
+        crashes, came_at = left[part], suspects[part]
+        times = ((crashed_at[crash], came_at[crash]) for crash in crashes)
         if len(crashes) < MIN_CRASHES or count_separate(times) < MIN_CRASHES:
             continue
         rank = (part not in answered, len(crashes))
@@ -75,11 +78,17 @@
     return best
 
 
-def count_separate(times: Iterable[float]) -> int:
-    """Return the number of times, counting simultaneous ones as one."""
-    count, started = 0, float("-inf")
-    for time in sorted(times):
-        if time - started <= SIMULTANEOUS_SECONDS:
+def count_separate(times: Iterable[tuple[float, float]]) -> int:
+    """Return the number of crashes, counting simultaneous ones as one.
+
+    Parameters
+    ----------
+    times : iterable of tuple
+        Times of the crash and of the arrival of the request that was open at it.
+    """
+    count, last = 0, float("-inf")
+    for crashed_at, came_at in sorted(times):
+        if crashed_at - last <= SIMULTANEOUS_SECONDS and came_at < last:
             continue
-        count, started = count + 1, time
+        count, last = count + 1, crashed_at
     return count
--- a/wisteriagw/gateway/_crash_detector.py
+++ b/wisteriagw/gateway/_crash_detector.py
@@ -81,7 +81,6 @@
         )
         if crashed:
             self._metrics.server_crashes.labels(server.service).inc()
-            self._crashing_parts.record_crash(
-                f"{server.name}/{server.born}",
-                (run.parts for run in runs if not run.sound),
-            )
+            crash = f"{server.name}/{server.born}"
+            suspects = [(run.parts, run.came_at) for run in runs if not run.sound]
+            self._crashing_parts.record_crash(crash, suspects, lost_at)
--- a/wisteriagw/gateway/_crash_report_queue.py
+++ b/wisteriagw/gateway/_crash_report_queue.py
@@ -24,9 +24,11 @@
         self._crashes: deque[tuple] = deque(maxlen=MAX_QUEUED_ROWS)
         self._sound_answers: deque[tuple] = deque(maxlen=MAX_QUEUED_ROWS)
 
-    def add_crash(self, crash: str, parts: tuple[str, ...], at: float) -> None:
-        """Add the parts of a request that was open at a crash."""
-        self._crashes.append((crash, parts, at))
+    def add_crash(
+        self, crash: str, parts: tuple[str, ...], at: float, came_at: float
+    ) -> None:
+        """Add the parts of a request that came to an engine before it ended."""
+        self._crashes.append((crash, parts, at, came_at))
 
     def add_sound_answer(self, part: str, at: float) -> None:
         """Add the last sound answer on a part."""
@@ -34,8 +36,9 @@
 
     def add_all(self, reports: CrashReports, now: float) -> None:
         """Add the reports of a peer."""
-        for crash, parts, age in reports.crashes:
-            self.add_crash(crash, tuple(parts), now - age)
+        for crash, parts, age, open_seconds in reports.crashes:
+            at = now - age
+            self.add_crash(crash, tuple(parts), at, at - open_seconds)
         for part, age in reports.sound_answers:
             self.add_sound_answer(part, now - age)
 
@@ -43,7 +46,8 @@
         """Remove and return the reports of the next message."""
         return CrashReports(
             tuple(
-                (crash, parts, now - at) for crash, parts, at in pop_rows(self._crashes)
+                (crash, parts, now - at, at - came_at)
+                for crash, parts, at, came_at in pop_rows(self._crashes)
             ),
             tuple((part, now - at) for part, at in pop_rows(self._sound_answers)),
         )
--- a/wisteriagw/gateway/_crashing_parts.py
+++ b/wisteriagw/gateway/_crashing_parts.py
@@ -52,13 +52,28 @@
             return None
         return self._quarantines.find(prompt.list_shared_parts(), self._clock())
 
-    def record_crash(self, crash: str, runs: Iterable[tuple[str, ...]]) -> None:
-        """Record the parts of each prompt that was open when an engine ended."""
-        now = self._clock()
-        distinct = {parts for parts in runs if parts}
-        for parts in distinct:
-            self.reports.add_crash(crash, parts, now)
-        self._add_crashes(((crash, parts, 0.0) for parts in distinct), now)
+    def record_crash(
+        self, crash: str, runs: Iterable[tuple[tuple[str, ...], float]], at: float
+    ) -> None:
+        """Record the prompts that were open when an engine ended.
+
+        Parameters
+        ----------
+        crash : str
+            Name of the crash; the same on all VMs.
+        runs : iterable of tuple
+            Parts of each prompt, and the time at which it was sent to the engine.
+        at : float
+            Time of the crash in seconds.
+        """
+        latest: dict[tuple[str, ...], float] = {}
+        for parts, came_at in runs:
+            if parts:
+                latest[parts] = max(came_at, latest.get(parts, came_at))
+        rows = [(crash, parts, at, came_at) for parts, came_at in latest.items()]
+        for row in rows:
+            self.reports.add_crash(*row)
+        self._add_crashes(rows)
 
     def record_sound_answer(self, parts: Iterable[str]) -> None:
         """Record that an answer on some parts was written and its engine runs on."""
@@ -69,7 +84,10 @@
 
     def apply_reports(self, reports: CrashReports, now: float) -> None:
         """Apply the reports of a peer."""
-        self._add_crashes(reports.crashes, now)
+        self._add_crashes(
+            (crash, tuple(parts), now - age, now - age - open_seconds)
+            for crash, parts, age, open_seconds in reports.crashes
+        )
         for part, age in reports.sound_answers:
             self._told_at[part] = max(now - age, self._told_at.get(part, NEVER))
             self._add_sound_answer(part, now - age)
@@ -114,12 +132,13 @@
             if self._history.get_sound_time(part) == NEVER:
                 del self._told_at[part]
 
-    def _add_crashes(self, rows: Iterable[tuple], now: float) -> None:
-        rows = [(crash, tuple(parts), now - age) for crash, parts, age in rows]
+    def _add_crashes(self, rows: Iterable[tuple]) -> None:
+        now = self._clock()
+        rows = list(rows)
         if not rows:
             return
-        for crash, parts, at in rows:
-            self._history.add_crash(crash, at, parts)
+        for crash, parts, at, came_at in rows:
+            self._history.add_crash(crash, at, parts, came_at)
             for entry in self._quarantines.apply_crash(crash, parts, now):
                 self._log_begin(entry, "another crash")
             for part in parts:
--- a/wisteriagw/gateway/_lost_run.py
+++ b/wisteriagw/gateway/_lost_run.py
@@ -15,6 +15,8 @@
     progress : str
         ``prefill`` for a prompt that was only prefilled; otherwise what had arrived of
         the answer: ``nothing``, ``head`` or ``events``.
+    came_at : float
+        Time at which it was sent to the engine, in seconds.
     parts : tuple of str
         Parts of the prompt that other requests may share.
     sound : bool
@@ -23,5 +25,6 @@
 
     request_id: str
     progress: str
+    came_at: float
     parts: tuple[str, ...] = ()
     sound: bool = False
--- a/wisteriagw/gateway/_prompt_prefill.py
+++ b/wisteriagw/gateway/_prompt_prefill.py
@@ -53,7 +53,7 @@
             return None
         except (ResponseLostError, TimeoutError) as error:
             reason = f"prefill: {type(error).__name__} {error}"
-            access.record_loss(server.name, reason, "prefill")
+            access.record_loss(server.name, reason, "prefill", started)
             self._abort_answer()
             return None
         finally:
--- a/wisteriagw/gateway/_request_forwarder.py
+++ b/wisteriagw/gateway/_request_forwarder.py
@@ -57,7 +57,9 @@
         self._response: Response | None = None
         self._reservation: WorkReservation | None = None
         self._usage_counted = False
+        # Reset to 0 with the first event; the other one lasts as long as the attempt.
         self._sent_at = 0.0
+        self._came_at = 0.0
         self._running_since: float | None = None
         self._expected_tokens = 0.0
         self._sound = False
@@ -185,7 +187,9 @@
     def record_loss(self, reason: str) -> None:
         """Record that the server's answer was lost after its head had arrived."""
         progress = "head" if self._running_since is None else "events"
-        self._access.record_loss(self.server, reason, progress, self._sound)
+        self._access.record_loss(
+            self.server, reason, progress, self._came_at, self._sound
+        )
 
     def close(self) -> None:
         """Abort the current attempt and release its resources."""
@@ -220,7 +224,7 @@
             self._expected_tokens = (waiting + tokens) * FULL_PREFILL_FACTOR
         self._reservation = WorkReservation(context.work, server.name, tokens)
         access.record_parts(server.name)
-        self._sent_at = context.reactor.seconds()
+        self._came_at = self._sent_at = context.reactor.seconds()
         self._running_since = None
         self._sound = False
         try:
@@ -233,7 +237,7 @@
             head = await self._read_head(self._response)
         except (ResponseLostError, TimeoutError) as error:
             reason = f"{type(error).__name__} {error}"
-            access.record_loss(server.name, reason, "nothing")
+            access.record_loss(server.name, reason, "nothing", self._came_at)
             if not access.route.streaming:
                 self._count_usage()
             return MayHaveRun(str(error))
--- a/wisteriagw/gateway/_server_access.py
+++ b/wisteriagw/gateway/_server_access.py
@@ -264,12 +264,17 @@
             self.context.crashing_parts.record_sound_answer(parts)
 
     def record_loss(
-        self, server: str, reason: str, progress: str, sound: bool = False
+        self,
+        server: str,
+        reason: str,
+        progress: str,
+        came_at: float,
+        sound: bool = False,
     ) -> None:
         """Record that the answer of a server was lost with its connection."""
         prompt = self.caller.prompt
         parts = () if prompt is None else prompt.list_shared_parts()
-        run = LostRun(self.caller.request_id, progress, parts, sound)
+        run = LostRun(self.caller.request_id, progress, came_at, parts, sound)
         self.context.crash_detector.record_loss(server, run)
         self.record_failure(server, reason, progress=progress, parts=parts)
 
--- a/wisteriagw/messages/_crash_reports.py
+++ b/wisteriagw/messages/_crash_reports.py
@@ -14,7 +14,8 @@
     Attributes
     ----------
     crashes : tuple
-        Rows of crash, prompt parts of a request that was open at it, and seconds since.
+        Rows of crash, prompt parts of a request that was open at it, seconds since, and
+        seconds for which the request had been at the engine.
     sound_answers : tuple
         Rows of prompt part and seconds since the last sound answer on it.
     quarantines : tuple
