--- a/features/steps/_faulty_server.py
+++ b/features/steps/_faulty_server.py
@@ -116,6 +116,18 @@
 
 def read_request(connection: socket.socket):
     """Return the fault, the headers of a genuine answer and its body, or None."""
+    request = read_head(connection)
+    if request is None:
+        return None
+    lines, headers = request
+    path = lines[0].split(b" ")[1].decode()
+    fault = path.rpartition("/")[2].replace("_", " ")
+    request_id = headers.split(b"\r\n")[0].partition(b": ")[2]
+    return fault, headers, b"answer to " + request_id
+
+
+def read_head(connection: socket.socket):
+    """Read a request; return its lines and the headers of a genuine answer, or None."""
     data = b""
     while b"\r\n\r\n" not in data:
         try:
@@ -130,8 +142,5 @@
     fields = dict(line.lower().split(b": ", 1) for line in lines[1:])
     while len(body) < int(fields.get(b"content-length", 0)):
         body += connection.recv(65_536)
-    path = lines[0].split(b" ")[1].decode()
-    request_id = fields[b"x-wisteriagw-request-id"]
     headers = b"X-Wisteriagw-Request-Id: %b\r\nX-Wisteriagw-Server-Stamp: s\r\n"
-    fault = path.rpartition("/")[2].replace("_", " ")
-    return fault, headers % request_id, b"answer to " + request_id
+    return lines, headers % fields.get(b"x-wisteriagw-request-id", b"")
