Count only answers with events as sound

An engine that answered a prompt with status 400, 404 or a JSON error had written no answer on its parts, yet cleared them: a part that crashes engines would have needed three more crashes. Found by reading. Only a complete stream with an event, a plain answer with status 200, or a stream that goes on for a second clears parts now.

--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -204,6 +204,26 @@
         gateway.request("ask", prompt="300,20", parts=self.PARTS)
         assert len(gateway.pool.sent) == before + 1
 
+    @pytest.mark.parametrize(
+        ("status", "body"), [(400, b"error"), (404, b""), (200, b'{"error": "x"}')]
+    )
+    def test_answer_without_events_clears_no_part(self, status: int, body) -> None:
+        gateway = GatewayFixture()
+        runs = [(("common",), gateway.clock.seconds())]
+        for number in range(2):
+            gateway.clock.advance(1.0)
+            now = gateway.clock.seconds()
+            gateway.crashing_parts.record_crash(f"engine-{number}/1", runs, now)
+        gateway.request("ask", prompt="300,20", parts=self.PARTS)
+        gateway.pool.sent[-1].reply(status, body, content_type="application/json")
+        gateway.clock.advance(1.0)
+        gateway.confirm()
+        now = gateway.clock.seconds()
+        gateway.crashing_parts.record_crash("engine-3/1", runs, now)
+        before = len(gateway.pool.sent)
+        gateway.request("ask", prompt="300,20", parts=self.PARTS)
+        assert len(gateway.pool.sent) == before
+
     def test_prefill_alone_clears_no_part(self) -> None:
         engines = CrashingEngines("bad")
         gateway = engines.gateway
--- a/wisteriagw/gateway/_request_forwarder.py
+++ b/wisteriagw/gateway/_request_forwarder.py
@@ -31,6 +31,7 @@
 # An engine that runs on for this long after the first event of an answer does not end
 # under it.
 SOUND_SECONDS = 1.0
+OK_STATUS = 200
 MIN_SERVER_ERROR_STATUS = 500
 MISDIRECTED_STATUS = 421
 QUEUE_TOO_LONG = RefusedNotRun("overloaded", "the queues of the engines are too long")
@@ -57,9 +58,9 @@
         self._response: Response | None = None
         self._reservation: WorkReservation | None = None
         self._usage_counted = False
-        # Reset to 0 with the first event; the other one lasts as long as the attempt.
-        self._sent_at = 0.0
+        # Start of the attempt, of which _sent_at is reset to 0 with its first event.
         self._came_at = 0.0
+        self._sent_at = 0.0
         self._running_since: float | None = None
         self._expected_tokens = 0.0
         self._sound = False
@@ -176,7 +177,9 @@
         context = self._access.context
         now = context.reactor.seconds()
         if status < MIN_SERVER_ERROR_STATUS:
-            self._record_sound_answer()
+            streaming = self._access.route.streaming
+            if status == OK_STATUS and (not streaming or self._running_since):
+                self._record_sound_answer()
             context.work.record_success(self.server, now)
             if self._running_since is not None:
                 seconds = now - self._running_since
