Send crash reports at once

A report is now sent after 0.05 s at each hop, together with those that came meanwhile; without crashes nothing is sent as before.

test_reports_do_not_wait_for_the_next_update (60 VMs) failed before the change.

--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -9,7 +9,8 @@
 from twisted.internet.task import Clock
 
 from tests.support._gateway_fixture import GatewayFixture
-from tests.support._simulated_fleet import SimulatedFleet
+from tests.support._simulated_fleet import LINK_SECONDS, SimulatedFleet
+from wisteriagw.gateway._crash_report_exchange import SEND_DELAY_SECONDS
 from wisteriagw.gateway._crashing_parts import CrashingParts
 from wisteriagw.gateway._quarantine_store import READ_RETRY_SECONDS, QuarantineStore
 from wisteriagw.placement import Prompt
@@ -271,6 +272,20 @@
         fleet.advance(1.0)
         assert self.list_quarantined(fleet, self.BAD) == set(fleet.gateways)
 
+    def test_reports_do_not_wait_for_the_next_update(self) -> None:
+        """With many VMs in a data centre, updates are seldom."""
+        fleet = SimulatedFleet({"north": 40, "south": 20})
+        fleet.advance(3.0)
+        for number, vm in enumerate(("north-1", "north-20", "south-9")):
+            fleet.advance(0.3)
+            gateway = fleet.gateways[vm]
+            now = gateway.clock.seconds()
+            runs = [(("lead", "bad"), now - 0.01)]
+            gateway.crashing_parts.record_crash(f"engine-{number}/1", runs, now)
+        hops = 3
+        fleet.advance(hops * (LINK_SECONDS + SEND_DELAY_SECONDS) + 0.1)
+        assert self.list_quarantined(fleet, self.BAD) == set(fleet.gateways)
+
     def test_sound_answer_on_another_vm_clears_the_leading_part(self) -> None:
         fleet = self.build()
         self.crash_once_per_vm(fleet, ["north-1", "south-2"])
--- a/wisteriagw/gateway/_crash_report_exchange.py
+++ b/wisteriagw/gateway/_crash_report_exchange.py
@@ -2,21 +2,24 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from wisteriagw.gateway._crash_report_queue import CrashReportQueue
 from wisteriagw.messages import CrashReports
+from wisteriagw.relays import RelayPeers
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Iterable
 
     from wisteriagw.gateway._crashing_parts import CrashingParts
     from wisteriagw.mesh import Mesh
-    from wisteriagw.relays import RelayPeers
 
 # Relays repeat the quarantines in force at this interval, for VMs that have just
 # started or missed a report.
 QUARANTINE_INTERVAL_SECONDS = 0.5
+# Reports do not wait for the next update, whose interval grows with the number of VMs:
+# until they arrive, more engines end. Those of this time are sent together.
+SEND_DELAY_SECONDS = 0.05
 
 
 class CrashReportExchange:
@@ -26,23 +29,23 @@
         self,
         mesh: Mesh,
         crashing_parts: CrashingParts,
-        clock: Callable[[], float],
+        reactor: Any,
     ) -> None:
         self._mesh = mesh
         self._crashing_parts = crashing_parts
-        self._clock = clock
+        self._reactor = reactor
+        self._peers = RelayPeers()
+        self._scheduled = False
         self._for_relays = CrashReportQueue()
         self._for_served_vms = CrashReportQueue()
-        self._is_relay = False
-        self._served: frozenset[str] = frozenset()
         self._repeated_at = float("-inf")
+        crashing_parts.on_report = self._schedule
         mesh.subscribe(CrashReports, self._handle)
 
     def send(self, peers: RelayPeers, now: float) -> None:
         """Send what was reported since the last message."""
         own = self._crashing_parts.reports.pop(now)
-        self._is_relay = peers.is_relay
-        self._served = frozenset(peers.served_vms)
+        self._peers = peers
         if not peers.is_relay:
             self._send(peers.relays[:1], own)
             return
@@ -65,10 +68,20 @@
             self._mesh.multicast(vms, reports)
 
     def _handle(self, sender: str, reports: CrashReports) -> None:
-        now = self._clock()
+        now = self._reactor.seconds()
         self._crashing_parts.apply_reports(reports, now)
-        if not self._is_relay:
+        if not self._peers.is_relay or not (reports.crashes or reports.sound_answers):
             return
         self._for_served_vms.add_all(reports, now)
-        if sender in self._served:
+        if sender in self._peers.served_vms:
             self._for_relays.add_all(reports, now)
+        self._schedule()
+
+    def _schedule(self) -> None:
+        if not self._scheduled:
+            self._scheduled = True
+            self._reactor.callLater(SEND_DELAY_SECONDS, self._send_scheduled)
+
+    def _send_scheduled(self) -> None:
+        self._scheduled = False
+        self.send(self._peers, self._reactor.seconds())
--- a/wisteriagw/gateway/_crashing_parts.py
+++ b/wisteriagw/gateway/_crashing_parts.py
@@ -37,10 +37,13 @@
     ----------
     reports : CrashReportQueue
         Reports of this VM for its peers.
+    on_report : callable
+        Called without arguments when a report was added.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self.reports = CrashReportQueue()
+        self.on_report: Callable[[], None] = _ignore
         self._clock = clock
         self._history = CrashHistory()
         self._quarantines = QuarantineList()
@@ -73,6 +76,8 @@
         rows = [(crash, parts, at, came_at) for parts, came_at in latest.items()]
         for row in rows:
             self.reports.add_crash(*row)
+        if rows:
+            self.on_report()
         self._add_crashes(rows)
 
     def record_sound_answer(self, parts: Iterable[str]) -> None:
@@ -103,8 +108,7 @@
                 if sound_at <= first_at:
                     left.add(part)
                 elif self._told_at.get(part, NEVER) <= first_at:
-                    self._told_at[part] = sound_at
-                    self.reports.add_sound_answer(part, sound_at)
+                    self._report_sound_answer(part, sound_at)
             offered = Quarantine(
                 frozenset(left), frozenset(), first_at, now - age, seconds
             )
@@ -170,8 +174,12 @@
         contested = self._history.count_crashes(part) >= MIN_CONTESTED_CRASHES
         if at < crash_at and (known > NEVER or not contested):
             return
+        self._report_sound_answer(part, at)
+
+    def _report_sound_answer(self, part: str, at: float) -> None:
         self._told_at[part] = at
         self.reports.add_sound_answer(part, at)
+        self.on_report()
 
     def _update_quarantines(self, now: float) -> None:
         signatures = self._history.find_signatures()
@@ -185,3 +193,7 @@
             entry.seconds,
             reason,
         )
+
+
+def _ignore() -> None:
+    """Do nothing with a report while there are no peers."""
--- a/wisteriagw/gateway/_update_exchange.py
+++ b/wisteriagw/gateway/_update_exchange.py
@@ -92,7 +92,7 @@
             self._initial_state,
         )
         self._crash_reports = CrashReportExchange(
-            mesh, context.crashing_parts, context.reactor.seconds
+            mesh, context.crashing_parts, self._reactor
         )
         set_confirmation_age(context)
 
