Log why a missing server is kept, and how old the register was

The log shows when a VM regains the store, but neither that a removed server is kept, for how long and why, nor the age of the register where no request is placed. Both are needed to tell a late read (hypothesis 1) from a removal that was undone (2): a line names the server that is kept and the seconds, the line about the return of the store says how old the last read is, and wisteriagw_register_age_seconds shows the age between requests. No logic changes.

--- a/wisteriagw/gateway/_fleet_feed.py
+++ b/wisteriagw/gateway/_fleet_feed.py
@@ -154,9 +154,14 @@
         )
         if left > 0 or not self.follower.available:
             self._missing.add(name)
-            self._reactor.callLater(
-                left if left > 0 else REREGISTRATION_SECONDS, self._remove_missing, name
+            kept = left if left > 0 else REREGISTRATION_SECONDS
+            logger.info(
+                "entry of backend server %s is missing after an outage of the store, "
+                "kept for %.2f s",
+                name,
+                kept,
             )
+            self._reactor.callLater(kept, self._remove_missing, name)
             return
         self._drop(known)
 
--- a/wisteriagw/gateway/_metrics.py
+++ b/wisteriagw/gateway/_metrics.py
@@ -44,6 +44,11 @@
             "Time since the configuration was last confirmed to be current",
             registry=self._registry,
         )
+        self.register_age = Gauge(
+            "wisteriagw_register_age_seconds",
+            "Time since the register of backend servers was last confirmed",
+            registry=self._registry,
+        )
         self.vms = Gauge(
             "wisteriagw_vms",
             "VMs that are alive, including this one",
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -261,6 +261,8 @@
         context.metrics.backend_servers.set(len(context.fleet.fleet.servers))
         age = min(context.configuration.get_age(), MAX_AGE_SECONDS)
         context.metrics.configuration_age.set(age)
+        age = self._reactor.seconds() - context.fleet.follower.read_at
+        context.metrics.register_age.set(min(age, MAX_AGE_SECONDS))
 
 
 def build_member(settings: NodeSettings, incarnation: str) -> Member:
--- a/wisteriagw/gateway/_topic_follower.py
+++ b/wisteriagw/gateway/_topic_follower.py
@@ -24,6 +24,8 @@
 # down or limits the call rate is not called much more often than usual.
 MIN_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 0.5
+# Age in the log before the first read.
+MAX_LOGGED_AGE_SECONDS = 1e6
 
 
 class TopicFollower:
@@ -176,7 +178,11 @@
         if not self.available:
             self.available = True
             self.recovered_at = self._reactor.seconds()
-            logger.warning("regained the store for %s", self.topic)
+            logger.warning(
+                "regained the store for %s, last read to its tip %.2f s ago",
+                self.topic,
+                min(self.recovered_at - self.read_at, MAX_LOGGED_AGE_SECONDS),
+            )
 
     def _set_relying(self, relying: bool) -> None:
         if relying != self._relying:
