Show that a read lost in an outage hides a server's departure

The test plays a store that is silent for 0.4 to 9.5 s at five phases of the register's long poll; a server is removed when the store has been back for the platform's 3 s, and must get no work 2 s later.

--- a/tests/test_gateway_feeds.py
+++ b/tests/test_gateway_feeds.py
@@ -27,10 +27,16 @@
     REGISTER_TOPIC,
     USAGE_TOPIC,
     StoreRecord,
+    StoreUnavailableError,
 )
+from wisteriagw.platform._store_client import CALL_TIMEOUT_SECONDS
 from wisteriagw.standins import TopicStore
 
 POLL_SECONDS = 0.1
+# Bounds of the platform: the store counts as available for this long after an outage,
+# and a server that left then may receive no request after the second one.
+CONTACT_SECONDS = 3.0
+DRAIN_SECONDS = 2.0
 
 
 class PollingStore:
@@ -56,6 +62,25 @@
         return await self.topics.append(*arguments)
 
 
+class SilentStore(PollingStore):
+    """Store that answers a read with its first record, or is silent for a while."""
+
+    silent = False
+
+    async def read(self, topic, start, wait=0.0):
+        from twisted.internet.task import deferLater
+
+        lost = self.silent
+        for _ in range(round((wait + CALL_TIMEOUT_SECONDS) / POLL_SECONDS)):
+            await deferLater(self._clock, POLL_SECONDS)
+            lost = lost or self.silent
+            wait -= POLL_SECONDS
+            page = await self.topics.read(topic, start)
+            if not lost and (page.records or wait <= 0):
+                return page
+        raise StoreUnavailableError("no response", may_have_run=True)
+
+
 def advance(clock: Clock, seconds: float) -> None:
     """Advance the virtual time in small steps."""
     for _ in range(round(seconds / POLL_SECONDS)):
@@ -160,10 +185,10 @@
 class TestFleetFeed:
     """Leaving servers are removed at once, expired ones after the platform's delay."""
 
-    def start(self) -> FleetFeed:
+    def start(self, kind: type[PollingStore] = PollingStore) -> FleetFeed:
         self.clock = Clock()
         self.clock.advance(100.0)
-        self.store = PollingStore(self.clock)
+        self.store = kind(self.clock)
         self.lost = []
         feed = FleetFeed(self.clock, self.store, self.lost.append)
         feed.follower.start()
@@ -264,6 +289,24 @@
         advance(self.clock, removed_at + 2.0 - self.clock.seconds())
         assert feed.fleet.servers == {}
 
+    @pytest.mark.parametrize("silent_seconds", [0.4, 1.0, 2.5, 6.0, 9.5])
+    def test_server_that_left_after_a_lost_read_gets_no_work(
+        self, silent_seconds: float
+    ) -> None:
+        """A read sent during the outage delayed the removal past the bound."""
+        for calm_seconds in (1.0, 1.9, 2.8, 4.5, 5.7):
+            feed = self.start(SilentStore)
+            self.put()
+            advance(self.clock, calm_seconds)
+            self.store.silent = True
+            advance(self.clock, silent_seconds)
+            self.store.silent = False
+            advance(self.clock, CONTACT_SECONDS)
+            assert len(feed.fleet.list_service("lm")) == 1
+            self.store.topics.put(REGISTER_TOPIC, "i-1", b"")
+            advance(self.clock, DRAIN_SECONDS)
+            assert feed.fleet.list_service("lm") == []
+
     def test_expired_entry_that_stays_missing_is_dropped(self) -> None:
         feed = self.expire()
         advance(self.clock, REREGISTRATION_SECONDS + 1.0)
