Notice the return of the store within a second and a half

Callers' requests were sent to a backend server up to 3.1 s after it had left, when it left about three seconds after an outage of the store in which calls were accepted and not answered.

Cause: a long poll that is sent while the store is silent is never answered, and was waited for up to 6 s, so a VM noticed the return of the store up to 6 s late. It then took the removal for an entry that had expired in the outage and kept the server for 1.7 s from its own, late recovery. VMs that are relays for others poll for 0.4 s and were not affected, which is why three VMs of the incident dropped the server within 24 ms.

Now reads are short while the store is unavailable, in the one follower that all topics share: configuration, members and quarantines recover as fast. The first read that is lost is bounded too: the wait of the register follows from the platform's bounds (2 s here, 5 s before), so that a lost read and the time for which missing entries are kept are over in time.

Ruled out: an undone removal (no VM logged the server as ready again), waiting requests (the request was placed 5 ms after it came).

--- a/tests/test_gateway_feeds.py
+++ b/tests/test_gateway_feeds.py
@@ -22,6 +22,7 @@
 from wisteriagw.gateway._usage_windows import UsageWindows, encode_counts, encode_seal
 from wisteriagw.outcomes import Done, MayHaveRun
 from wisteriagw.platform import (
+    CALL_TIMEOUT_SECONDS,
     CONFIGURATION_KEY,
     CONFIGURATION_TOPIC,
     REGISTER_TOPIC,
@@ -29,7 +30,6 @@
     StoreRecord,
     StoreUnavailableError,
 )
-from wisteriagw.platform._store_client import CALL_TIMEOUT_SECONDS
 from wisteriagw.standins import TopicStore
 
 POLL_SECONDS = 0.1
--- a/wisteriagw/gateway/_fleet_feed.py
+++ b/wisteriagw/gateway/_fleet_feed.py
@@ -11,7 +11,12 @@
 from wisteriagw.findings import Finding
 from wisteriagw.fleet import Fleet
 from wisteriagw.gateway._topic_follower import TopicFollower
-from wisteriagw.platform import REGISTER_TOPIC, StoreRecord, decode_entry
+from wisteriagw.platform import (
+    CALL_TIMEOUT_SECONDS,
+    REGISTER_TOPIC,
+    StoreRecord,
+    decode_entry,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -21,7 +26,9 @@
 
 logger = logging.getLogger(__name__)
 
-WAIT_SECONDS = 5.0
+# Time for which a read waits for records, and its maximum.
+WAIT_SECONDS = 2.0
+MAX_WAIT_SECONDS = 5.0
 # All backend servers together report several times a second; reading in batches saves
 # calls, and a leaving server is still known well before it must receive no more work.
 MIN_READ_INTERVAL_SECONDS = 0.4
@@ -30,6 +37,8 @@
 # belong to a server that left, which must receive no requests 2 s later; the rest
 # covers the latency of a request.
 REREGISTRATION_SECONDS = 1.7
+# Time for the read that follows a lost one, and for a request that was placed before.
+READ_MARGIN_SECONDS = 0.3
 # Servers whose newest offset is kept, removed ones included, so that older records are
 # ignored. Beyond this number the offset updated least recently is dropped: a delayed
 # row of a relay is never overtaken by records of as many other servers.
@@ -39,6 +48,13 @@
 class FleetFeed:
     """Follows the register of backend servers.
 
+    Parameters
+    ----------
+    on_lost : callable
+        Receives each server that ended, restarted or was removed.
+    wait : float
+        Seconds for which a read waits for records (`find_read_wait`).
+
     Attributes
     ----------
     fleet : Fleet
@@ -50,6 +66,7 @@
         reactor: Any,
         store: StoreClient,
         on_lost: Callable[[BackendServer], None],
+        wait: float = WAIT_SECONDS,
     ) -> None:
         self.fleet = Fleet({})
         self._reactor = reactor
@@ -62,7 +79,7 @@
             reactor,
             store,
             REGISTER_TOPIC,
-            WAIT_SECONDS,
+            wait,
             self._apply_snapshot,
             self._apply_records,
             MIN_READ_INTERVAL_SECONDS,
@@ -178,3 +195,20 @@
         self._changes.append(StoreRecord(offset, known.name, b""))
         logger.info("backend server %s of %s is gone", known.name, known.service)
         self._on_lost(known)
+
+
+def find_read_wait(contact_seconds: float, drain_seconds: float) -> float:
+    """Return the seconds for which a read of the register waits for records.
+
+    A read that is lost in an outage, and the time for which missing entries are kept
+    after it, end before a server must receive no more requests that left once the store
+    had been back for ``contact_seconds``.
+    """
+    wait = (
+        contact_seconds
+        + drain_seconds
+        - REREGISTRATION_SECONDS
+        - CALL_TIMEOUT_SECONDS
+        - READ_MARGIN_SECONDS
+    )
+    return min(MAX_WAIT_SECONDS, max(MIN_READ_INTERVAL_SECONDS, wait))
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -21,7 +21,7 @@
 from wisteriagw.gateway._decision_log import DecisionLog
 from wisteriagw.gateway._directory_handler import ADDRESS_TTL_SECONDS, DirectoryHandler
 from wisteriagw.gateway._engine_rate_table import EngineRateTable
-from wisteriagw.gateway._fleet_feed import FleetFeed
+from wisteriagw.gateway._fleet_feed import FleetFeed, find_read_wait
 from wisteriagw.gateway._lost_usage_writer import LostUsageWriter
 from wisteriagw.gateway._member import Member
 from wisteriagw.gateway._members import Members
@@ -187,7 +187,12 @@
     ) -> GatewayContext:
         reactor, settings = self._reactor, self._settings
         usage = UsageCounter(settings.usage_window, wall_clock)
-        fleet = FleetFeed(reactor, store, self._remove_server)
+        fleet = FleetFeed(
+            reactor,
+            store,
+            self._remove_server,
+            find_read_wait(settings.contact_seconds, settings.drain_seconds),
+        )
         work = WorkTable()
         log, metrics = DecisionLog(reactor.seconds), GatewayMetrics()
         crashing_parts = CrashingParts(reactor.seconds)
--- a/wisteriagw/gateway/_topic_follower.py
+++ b/wisteriagw/gateway/_topic_follower.py
@@ -153,7 +153,10 @@
             self._next_offset = page.next_offset
             self._at_tip = True
             return
-        page = await self._store.read(self.topic, self._next_offset, self.wait)
+        # A read that is sent during an outage is never answered: while the store is
+        # unavailable each read is short, so that its return is noticed.
+        wait = self.wait if self.available else 0.0
+        page = await self._store.read(self.topic, self._next_offset, wait)
         if not page.complete:
             logger.warning(
                 "records of %s are no longer kept, reading the newest of each key",
--- a/wisteriagw/platform/__init__.py
+++ b/wisteriagw/platform/__init__.py
@@ -38,7 +38,7 @@
     reports_not_run,
 )
 from wisteriagw.platform._settings_file import SETTINGS_VARIABLE, parse_settings
-from wisteriagw.platform._store_client import StoreClient
+from wisteriagw.platform._store_client import CALL_TIMEOUT_SECONDS, StoreClient
 from wisteriagw.platform._store_page import StorePage
 from wisteriagw.platform._store_record import StoreRecord
 from wisteriagw.platform._store_unavailable import StoreUnavailableError
@@ -54,6 +54,7 @@
 
 __all__ = [
     "AUTHORITY_TOPIC",
+    "CALL_TIMEOUT_SECONDS",
     "CONFIGURATION_KEY",
     "CONFIGURATION_TOPIC",
     "JSON_HEADERS",
