Exchange reports of any kind through the relays

The exchange of crash reports becomes ReportExchange, which takes the message and the queue of a kind of report, so that departures of servers can use the same path.

--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -10,9 +10,9 @@
 
 from tests.support._gateway_fixture import GatewayFixture
 from tests.support._simulated_fleet import LINK_SECONDS, SimulatedFleet
-from wisteriagw.gateway._crash_report_exchange import SEND_DELAY_SECONDS
 from wisteriagw.gateway._crashing_parts import CrashingParts
 from wisteriagw.gateway._quarantine_store import READ_RETRY_SECONDS, QuarantineStore
+from wisteriagw.gateway.reports import SEND_DELAY_SECONDS
 from wisteriagw.placement import Prompt
 from wisteriagw.platform import QUARANTINES_TOPIC
 from wisteriagw.standins import TopicStore
--- a/wisteriagw/gateway/_crashing_parts.py
+++ b/wisteriagw/gateway/_crashing_parts.py
@@ -7,11 +7,11 @@
 
 from wisteriagw.crashes import CrashHistory, Quarantine, QuarantineList
 from wisteriagw.gateway._crash_report_queue import CrashReportQueue
+from wisteriagw.messages import CrashReports
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from wisteriagw.messages import CrashReports
     from wisteriagw.placement import Prompt
 
 logger = logging.getLogger(__name__)
@@ -87,8 +87,8 @@
             self._add_sound_answer(part, now)
             self._tell_sound_answer(part)
 
-    def apply_reports(self, reports: CrashReports, now: float) -> None:
-        """Apply the reports of a peer."""
+    def apply_reports(self, reports: CrashReports, now: float) -> CrashReports:
+        """Apply the reports of a peer; return those that relays pass on."""
         self._add_crashes(
             (crash, tuple(parts), now - age, now - age - open_seconds)
             for crash, parts, age, open_seconds in reports.crashes
@@ -97,6 +97,11 @@
             self._told_at[part] = max(now - age, self._told_at.get(part, NEVER))
             self._add_sound_answer(part, now - age)
         self.adopt_quarantines(reports.quarantines, now)
+        return reports._replace(quarantines=())
+
+    def list_repeated(self, now: float) -> CrashReports:
+        """Return the quarantines in force, for VMs that missed the reports."""
+        return CrashReports(quarantines=self.list_quarantine_rows(now))
 
     def adopt_quarantines(self, rows: Iterable[tuple], now: float) -> None:
         """Take over the quarantines of a relay or the store, without sound parts."""
--- a/wisteriagw/gateway/_update_exchange.py
+++ b/wisteriagw/gateway/_update_exchange.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from wisteriagw.gateway._crash_report_exchange import CrashReportExchange
+from wisteriagw.gateway._crash_report_queue import CrashReportQueue
 from wisteriagw.gateway._delta_queue import DeltaQueue
 from wisteriagw.gateway._initial_state_transfer import InitialStateTransfer
 from wisteriagw.gateway._members import LIVENESS_TIMEOUT_SECONDS
@@ -18,6 +18,8 @@
 from wisteriagw.gateway._update_receiver import UpdateReceiver
 from wisteriagw.gateway._update_sender import UpdateSender
 from wisteriagw.gateway._usage_counter import KEPT_WINDOWS
+from wisteriagw.gateway.reports import ReportExchange
+from wisteriagw.messages import CrashReports
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -91,8 +93,8 @@
             copies,
             self._initial_state,
         )
-        self._crash_reports = CrashReportExchange(
-            mesh, context.crashing_parts, self._reactor
+        self._crash_reports = ReportExchange(
+            mesh, context.crashing_parts, self._reactor, CrashReports, CrashReportQueue
         )
         set_confirmation_age(context)
 
