Tell all VMs of a backend server's departure

Each VM learned of departures by its own reads only, or by those of its relay. Now every departure that a VM is certain of, a notice in the register or a removal while it follows the store, is reported through the relays at once, on the path of the crash reports, and repeated by the relays for VMs that were away. A departure names the process (name and start) and the offset of the entry that says so; an entry with a higher offset is valid again, so servers that come back after an outage are used as before. That the store was away is no reason to keep a server that another VM knows to have left.

The state is a table of its own (wisteriagw.notices), the exchange a package of the gateway (wisteriagw.gateway.notices). The digest that confirms a relay's reads still covers the entries as registered.

--- a/tests/support/_gateway_fixture.py
+++ b/tests/support/_gateway_fixture.py
@@ -26,6 +26,7 @@
 from wisteriagw.gateway._request_handler import RequestHandler
 from wisteriagw.gateway._retry_budgets import RetryBudgets
 from wisteriagw.gateway._usage_counter import UsageCounter
+from wisteriagw.gateway.notices import NoticeBoard
 from wisteriagw.placement import WorkTable
 from wisteriagw.routes import (
     Customer,
@@ -198,7 +199,10 @@
         )
         self.configuration.table = TABLE
         self.confirm()
-        self.fleet = FleetFeed(self.clock, self.store, lambda server: None)
+        self.notices = NoticeBoard(self.clock.seconds)
+        self.fleet = FleetFeed(
+            self.clock, self.store, lambda server: None, notices=self.notices
+        )
         for number in (1, 2):
             self.add_server(f"desk-{number}", "desk", number)
             self.add_server(f"lm-{number}", "lm", 10 + number, stage="decode")
@@ -229,6 +233,7 @@
                 metrics,
                 self.crashing_parts,
             ),
+            self.notices,
             lambda: 0.5,
         )
         self.handler = RequestHandler(self.context)
--- a/tests/support/_simulated_fleet.py
+++ b/tests/support/_simulated_fleet.py
@@ -17,6 +17,7 @@
 from wisteriagw.gateway._update_exchange import UpdateExchange
 from wisteriagw.gateway._usage_copies import UsageCopies
 from wisteriagw.gateway._usage_counter import UsageCounter
+from wisteriagw.gateway.notices import NoticeBoard
 from wisteriagw.messages import decode_message, encode_message
 from wisteriagw.placement import WorkTable
 from wisteriagw.standins import TopicStore
@@ -82,7 +83,10 @@
             self.clock, self.store, 5.0, lambda table: None
         )
         self.configuration.table = TABLE
-        self.fleet = FleetFeed(self.clock, self.store, lambda server: None)
+        self.notices = NoticeBoard(self.clock.seconds)
+        self.fleet = FleetFeed(
+            self.clock, self.store, lambda server: None, notices=self.notices
+        )
         self.usage = UsageCounter(5.0, self.clock.seconds)
         self.copies = UsageCopies()
         self.member = Member(vm, data_centre, f"{vm}:80", vm, 7000, "1", 0.5)
@@ -101,6 +105,7 @@
             usage=self.usage,
             pending_updates=PendingUpdates(self.usage),
             crashing_parts=self.crashing_parts,
+            notices=self.notices,
         )
         self.exchange = UpdateExchange(
             self.context,
--- a/tests/test_gateway_feeds.py
+++ b/tests/test_gateway_feeds.py
@@ -278,16 +278,25 @@
     ) -> None:
         """Its removal counts from the store, which served all other VMs."""
         feed = self.start()
+        other = FleetFeed(self.clock, self.store, self.lost.append)
         self.put()
         advance(self.clock, 1.0)
         self.store.topics.down = True
         advance(self.clock, 5.0)
         self.store.topics.put(REGISTER_TOPIC, "i-1", b"")
         removed_at = self.clock.seconds()
+        self.tell_departures(other, feed)
         advance(self.clock, 0.9)
         self.store.topics.down = False
         advance(self.clock, removed_at + 2.0 - self.clock.seconds())
-        assert feed.fleet.servers == {}
+        assert feed.fleet.list_service("lm") == []
+
+    def tell_departures(self, other: FleetFeed, feed: FleetFeed) -> None:
+        """Let another VM read the register, and pass on the notices that result."""
+        now = self.clock.seconds()
+        records = self.store.topics.list_records(REGISTER_TOPIC, 0)
+        other.apply_relayed_changes(records)
+        feed.notices.apply_reports(other.notices.reports.pop(now), now)
 
     @pytest.mark.parametrize("silent_seconds", [0.4, 1.0, 2.5, 6.0, 9.5])
     def test_server_that_left_after_a_lost_read_gets_no_work(
--- /dev/null
+++ b/tests/test_server_notices.py
@@ -0,0 +1,133 @@
+"""Tests of what backend servers say of themselves, to one VM or to the store."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from tests.support._gateway_fixture import GatewayFixture
+from tests.support._simulated_fleet import SimulatedFleet
+from wisteriagw.notices import Departure, NoticeTable
+from wisteriagw.platform import StoreRecord
+
+# Two hops to and from relays, each with a delay for batching, and a further relay.
+SPREAD_SECONDS = 0.5
+# Time after a disturbance of a VM from which the platform's bounds hold for it.
+CONTACT_SECONDS = 3.0
+
+
+def build_record(offset: int, state: str = "ready", born: int = 1) -> StoreRecord:
+    """Return an entry of the register."""
+    fields = {
+        "service": "lm",
+        "address": "10.0.0.1:80",
+        "zone": "north",
+        "state": state,
+        "born": born,
+    }
+    return StoreRecord(offset, "i-1", json.dumps(fields).encode())
+
+
+class TestDeparturesInTheFleet:
+    """A server that one VM knows to have left got requests from the others."""
+
+    def build(self) -> SimulatedFleet:
+        fleet = SimulatedFleet({"north": 4, "south": 2, "west": 1})
+        fleet.advance(2.0)
+        for gateway in fleet.gateways.values():
+            gateway.fleet.apply_relayed_changes([build_record(1)])
+        return fleet
+
+    def find_accepting(self, fleet: SimulatedFleet) -> list[str]:
+        return [
+            vm
+            for vm, gateway in fleet.gateways.items()
+            if gateway.fleet.fleet.list_service("lm")
+        ]
+
+    @pytest.mark.parametrize("reader", ["north-1", "north-4", "south-1", "west-1"])
+    @pytest.mark.parametrize(
+        "record", [StoreRecord(2, "i-1", b""), build_record(2, "draining")]
+    )
+    def test_departure_that_one_vm_read_reaches_vms_that_lost_the_store(
+        self, reader: str, record: StoreRecord
+    ) -> None:
+        fleet = self.build()
+        for vm, gateway in fleet.gateways.items():
+            gateway.fleet.follower.available = vm == reader
+        fleet.gateways[reader].fleet.apply_relayed_changes([record])
+        fleet.advance(SPREAD_SECONDS)
+        assert self.find_accepting(fleet) == []
+
+    def test_entry_that_follows_a_removal_is_accepted(self) -> None:
+        """Entries that expired in an outage come back under the same start."""
+        fleet = self.build()
+        reader = fleet.gateways["south-1"].fleet
+        reader.apply_relayed_changes([StoreRecord(2, "i-1", b"")])
+        fleet.advance(SPREAD_SECONDS)
+        for gateway in fleet.gateways.values():
+            gateway.fleet.apply_relayed_changes([build_record(3)])
+        fleet.advance(SPREAD_SECONDS)
+        assert len(self.find_accepting(fleet)) == 7
+
+    def test_vm_that_was_away_learns_of_departures(self) -> None:
+        fleet = self.build()
+        fleet.down.add("north-4")
+        fleet.advance(1.0)
+        removal = StoreRecord(2, "i-1", b"")
+        fleet.gateways["west-1"].fleet.apply_relayed_changes([removal])
+        fleet.advance(2.0)
+        fleet.down.clear()
+        fleet.advance(CONTACT_SECONDS)
+        assert self.find_accepting(fleet) == []
+
+    def test_notices_in_force_cost_no_repeated_messages_between_all(self) -> None:
+        fleet = self.build()
+        removal = StoreRecord(2, "i-1", b"")
+        fleet.gateways["west-1"].fleet.apply_relayed_changes([removal])
+        fleet.advance(2.0)
+        before = self.count_notices(fleet)
+        fleet.advance(10.0)
+        # Every half second each relay tells the other relays and its own VMs.
+        relays = [
+            vm for name in ("north", "south", "west") for vm in fleet.list_relays(name)
+        ]
+        most = 20 * (len(relays) * (len(relays) - 1) + 2 * (7 - len(relays)))
+        assert self.count_notices(fleet) - before <= 1.1 * most
+
+    def count_notices(self, fleet: SimulatedFleet) -> int:
+        return sum(
+            type(message).__name__ == "ServerNotices"
+            for gateway in fleet.gateways.values()
+            for _, message in gateway.mesh.sent
+        )
+
+
+class TestNoticeTable:
+    """Notices of an earlier process must not bind a server that started again."""
+
+    def test_later_process_is_not_bound(self) -> None:
+        table = NoticeTable()
+        assert table.record(Departure("i-1", 4, float("inf")), 1.0)
+        gateway = GatewayFixture()
+        gateway.add_server("i-1", "lm", 30, born=5)
+        server = gateway.fleet.fleet.servers["i-1"]
+        assert not table.is_leaving(server, 0)
+        assert table.is_leaving(server._replace(born=4), 10**9)
+        table.record(Departure("i-1", 5, 7.0), 2.0)
+        assert not table.record(Departure("i-1", 4, float("inf")), 3.0)
+        assert table.is_leaving(server, 7) and not table.is_leaving(server, 8)
+
+    def test_repeated_notice_tells_nothing_new(self) -> None:
+        table = NoticeTable()
+        assert table.record(Departure("i-1", 4, 7.0), 1.0)
+        assert not table.record(Departure("i-1", 4, 7.0), 2.0)
+        assert not table.record(Departure("i-1", 4, 6.0), 2.0)
+
+    def test_notices_of_servers_that_are_gone_are_forgotten(self) -> None:
+        table = NoticeTable()
+        for number in range(100):
+            table.record(Departure(f"i-{number}", 1, 7.0), 1.0)
+        table.expire({"i-3"}, 1_000.0)
+        assert [name for name, _ in table.list_conditions()] == ["i-3"]
--- a/wisteriagw/gateway/_context.py
+++ b/wisteriagw/gateway/_context.py
@@ -18,6 +18,7 @@
     from wisteriagw.gateway._pending_updates import PendingUpdates
     from wisteriagw.gateway._retry_budgets import RetryBudgets
     from wisteriagw.gateway._usage_counter import UsageCounter
+    from wisteriagw.gateway.notices import NoticeBoard
     from wisteriagw.placement import WorkTable
     from wisteriagw.platform import NodeSettings
 
@@ -39,4 +40,5 @@
     metrics: GatewayMetrics
     crashing_parts: CrashingParts
     crash_detector: CrashDetector
+    notices: NoticeBoard
     draw: Callable[[], float]
--- a/wisteriagw/gateway/_fleet_feed.py
+++ b/wisteriagw/gateway/_fleet_feed.py
@@ -11,6 +11,8 @@
 from wisteriagw.findings import Finding
 from wisteriagw.fleet import Fleet
 from wisteriagw.gateway._topic_follower import TopicFollower
+from wisteriagw.gateway.notices import NoticeBoard
+from wisteriagw.notices import Departure
 from wisteriagw.platform import (
     CALL_TIMEOUT_SECONDS,
     REGISTER_TOPIC,
@@ -54,11 +56,15 @@
         Receives each server that ended, restarted or was removed.
     wait : float
         Seconds for which a read waits for records (`find_read_wait`).
+    notices : NoticeBoard or None
+        Departures of servers, which other VMs may know of before this one.
 
     Attributes
     ----------
     fleet : Fleet
-        Entries in force.
+        Entries in force; those of servers that gave notice to leave say so.
+    notices : NoticeBoard
+        What servers said of themselves.
     """
 
     def __init__(
@@ -67,9 +73,13 @@
         store: StoreClient,
         on_lost: Callable[[BackendServer], None],
         wait: float = WAIT_SECONDS,
+        notices: NoticeBoard | None = None,
     ) -> None:
         self.fleet = Fleet({})
         self._reactor = reactor
+        self.notices = notices or NoticeBoard(reactor.seconds)
+        self.notices.on_change = self._apply_notices
+        self._registered: dict[str, BackendServer] = {}
         self._on_lost = on_lost
         self._missing: set[str] = set()
         self._offsets: OrderedDict[str, int] = OrderedDict()
@@ -86,9 +96,9 @@
         )
 
     def compute_digest(self) -> int:
-        """Return a digest of the entries in force."""
+        """Return a digest of the entries as they are registered."""
         if self._digest is None:
-            rows = sorted(self.fleet.servers.values())
+            rows = sorted(self._registered.values())
             self._digest = xxhash.xxh3_64_intdigest(repr(rows).encode("utf-8"))
         return self._digest
 
@@ -140,15 +150,18 @@
 
     def _put(self, entry: BackendServer, record: StoreRecord) -> None:
         self._missing.discard(entry.name)
-        known = self.fleet.servers.get(entry.name)
+        known = self._registered.get(entry.name)
         if known is not None and known.born > entry.born:
             # Outdated report of an earlier process with the same name.
             return
-        if known == entry:
-            return
         if known is not None and known.born != entry.born:
             self._on_lost(known)
-        self.fleet.servers[entry.name] = entry
+        self._registered[entry.name] = self.fleet.servers[entry.name] = entry
+        if entry.leaving:
+            self._report_departure(entry, record.offset)
+        self._apply_notices(entry.name)
+        if known == entry:
+            return
         self._digest = None
         self._changes.append(record)
         logger.info(
@@ -160,6 +173,21 @@
             "leaving" if entry.leaving else "ready",
         )
 
+    def _apply_notices(self, name: str) -> None:
+        known = self.fleet.servers.get(name)
+        if known is None or known.leaving:
+            return
+        if self.notices.table.is_leaving(known, self._offsets.get(name, 0)):
+            self.fleet.servers[name] = known._replace(leaving=True)
+            logger.info(
+                "backend server %s of %s gave notice that it leaves",
+                name,
+                known.service,
+            )
+
+    def _report_departure(self, server: BackendServer, offset: int) -> None:
+        self.notices.record(Departure(server.name, server.born, offset))
+
     def _remove(self, name: str) -> None:
         known = self.fleet.servers.get(name)
         if known is None:
@@ -190,8 +218,10 @@
 
     def _drop(self, known: BackendServer) -> None:
         del self.fleet.servers[known.name]
+        self._registered.pop(known.name, None)
         self._digest = None
         offset = self._offsets.get(known.name, 0)
+        self._report_departure(known, offset)
         self._changes.append(StoreRecord(offset, known.name, b""))
         logger.info("backend server %s of %s is gone", known.name, known.service)
         self._on_lost(known)
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -34,6 +34,7 @@
 from wisteriagw.gateway._usage_copies import UsageCopies
 from wisteriagw.gateway._usage_counter import UsageCounter
 from wisteriagw.gateway._usage_writer import UsageWriter
+from wisteriagw.gateway.notices import NoticeBoard
 from wisteriagw.mesh import Mesh
 from wisteriagw.placement import WorkTable
 from wisteriagw.platform import EngineClient, StoreClient
@@ -187,11 +188,13 @@
     ) -> GatewayContext:
         reactor, settings = self._reactor, self._settings
         usage = UsageCounter(settings.usage_window, wall_clock)
+        notices = NoticeBoard(reactor.seconds)
         fleet = FleetFeed(
             reactor,
             store,
             self._remove_server,
             find_read_wait(settings.contact_seconds, settings.drain_seconds),
+            notices,
         )
         work = WorkTable()
         log, metrics = DecisionLog(reactor.seconds), GatewayMetrics()
@@ -213,6 +216,7 @@
             metrics,
             crashing_parts,
             CrashDetector(reactor, pool, fleet, work, log, metrics, crashing_parts),
+            notices,
             random.random,
         )
 
@@ -260,6 +264,7 @@
         self._front.close_idle()
         self._directory.close_idle()
         context.crashing_parts.expire()
+        context.notices.expire(context.fleet.fleet.servers)
         vms = len(self._members.list_alive(self._reactor.seconds()))
         context.budgets.set_vm_count(max(vms, len(self._members.entries)))
         context.metrics.vms.set(vms)
--- a/wisteriagw/gateway/_update_exchange.py
+++ b/wisteriagw/gateway/_update_exchange.py
@@ -18,8 +18,9 @@
 from wisteriagw.gateway._update_receiver import UpdateReceiver
 from wisteriagw.gateway._update_sender import UpdateSender
 from wisteriagw.gateway._usage_counter import KEPT_WINDOWS
+from wisteriagw.gateway.notices import NoticeQueue
 from wisteriagw.gateway.reports import ReportExchange
-from wisteriagw.messages import CrashReports
+from wisteriagw.messages import CrashReports, ServerNotices
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -96,6 +97,9 @@
         self._crash_reports = ReportExchange(
             mesh, context.crashing_parts, self._reactor, CrashReports, CrashReportQueue
         )
+        self._notices = ReportExchange(
+            mesh, context.notices, self._reactor, ServerNotices, NoticeQueue
+        )
         set_confirmation_age(context)
 
     @property
@@ -123,6 +127,7 @@
         self._members.set_relay(peers.is_relay)
         self._sender.send(peers, now)
         self._crash_reports.send(peers, now)
+        self._notices.send(peers, now)
         self._initial_state.send()
 
     def announce_unavailable(self, server: str, seconds: float) -> None:
--- /dev/null
+++ b/wisteriagw/gateway/notices/_notice_board.py
@@ -0,0 +1,73 @@
+"""Notices of backend servers, as known to this VM and its peers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wisteriagw.gateway.notices._notice_queue import NoticeQueue
+from wisteriagw.gateway.notices._rows import decode_rows, encode_rows
+from wisteriagw.notices import NoticeTable, list_notices
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection
+    from typing import Any
+
+    from wisteriagw.messages import ServerNotices
+
+
+class NoticeBoard:
+    """Tells the other VMs what a server said to this one or to the store.
+
+    Parameters
+    ----------
+    clock : callable
+        Returns the time in seconds.
+
+    Attributes
+    ----------
+    table : NoticeTable
+        What is known of each server.
+    reports : NoticeQueue
+        Notices of this VM for its peers.
+    on_report : callable
+        Called without arguments when a notice for the peers was added.
+    on_change : callable
+        Called with the name of a server when something new is known of it.
+    """
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.table = NoticeTable()
+        self.reports = NoticeQueue()
+        self.on_report: Callable[[], None] = _ignore
+        self.on_change: Callable[[str], None] = _ignore
+        self._clock = clock
+
+    def record(self, notice: Any) -> None:
+        """Record a notice that a server has just given."""
+        now = self._clock()
+        if not self.table.record(notice, now):
+            return
+        self.reports.add(notice, now)
+        self.on_report()
+        self.on_change(notice.server)
+
+    def apply_reports(self, reports: ServerNotices, now: float) -> ServerNotices:
+        """Apply the notices of a peer; return those that are new to this VM."""
+        changed = []
+        for notice, at in decode_rows(reports, now):
+            if self.table.record(notice, at):
+                changed.append((notice, at))
+                self.on_change(notice.server)
+        return encode_rows(changed, now)
+
+    def list_repeated(self, now: float) -> ServerNotices:
+        """Return all notices in force, for VMs that missed them."""
+        return encode_rows(list_notices(self.table), now)
+
+    def expire(self, registered: Collection[str]) -> None:
+        """Forget servers that are gone; must be called periodically."""
+        self.table.expire(registered, self._clock())
+
+
+def _ignore(*arguments: str) -> None:
+    """Do nothing while nobody listens."""
--- a/wisteriagw/messages/__init__.py
+++ b/wisteriagw/messages/__init__.py
@@ -16,6 +16,7 @@
 from wisteriagw.messages._probe_request import ProbeRequest
 from wisteriagw.messages._registry import register_message
 from wisteriagw.messages._relay_update import RelayUpdate
+from wisteriagw.messages._server_notices import ServerNotices
 from wisteriagw.messages._usage_copy import UsageCopy
 from wisteriagw.messages._usage_copy_ack import UsageCopyAck
 from wisteriagw.messages._work_report import WorkReport
@@ -33,6 +34,7 @@
     "ProbeReply",
     "ProbeRequest",
     "RelayUpdate",
+    "ServerNotices",
     "UsageCopy",
     "UsageCopyAck",
     "WorkReport",
--- /dev/null
+++ b/wisteriagw/messages/_server_notices.py
@@ -0,0 +1,21 @@
+"""Mesh message: notices of backend servers."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from wisteriagw.messages._registry import register_message
+
+
+@register_message
+class ServerNotices(NamedTuple):
+    """Sent to a relay, between relays, and by a relay to the VMs that it serves.
+
+    Attributes
+    ----------
+    departures : tuple
+        Rows of backend server, its start time, offset in the register up to which it
+        is leaving, and seconds since the notice.
+    """
+
+    departures: tuple = ()
--- /dev/null
+++ b/wisteriagw/notices/_application.py
@@ -0,0 +1,36 @@
+"""Application of a notice to what is known of its server."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import TYPE_CHECKING
+
+from wisteriagw.notices._departure import Departure
+
+if TYPE_CHECKING:
+    from wisteriagw.notices._server_condition import ServerCondition
+
+
+@singledispatch
+def apply_notice(
+    notice: object, condition: ServerCondition, at: float
+) -> ServerCondition:
+    """Return the condition of a server after a notice.
+
+    Parameters
+    ----------
+    notice : NamedTuple
+        Notice of the process that the condition describes.
+    condition : ServerCondition
+        What is known without it. It is returned itself if the notice adds nothing.
+    at : float
+        Time in seconds at which the server gave notice.
+    """
+    raise TypeError(f"not a notice: {notice!r}")
+
+
+@apply_notice.register(Departure)
+def _(notice: Departure, condition: ServerCondition, at: float) -> ServerCondition:
+    if notice.offset <= condition.left_offset:
+        return condition
+    return condition._replace(left_offset=notice.offset, left_at=at)
--- /dev/null
+++ b/wisteriagw/notices/_departure.py
@@ -0,0 +1,24 @@
+"""Notice that a backend server is leaving."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class Departure(NamedTuple):
+    """A server accepts no new work, or is gone.
+
+    Attributes
+    ----------
+    server : str
+        Backend server.
+    born : int
+        Start time of its process.
+    offset : float
+        Offset in the register of the entry or removal that says so; an entry after it
+        is valid again. Infinite if the server said so itself.
+    """
+
+    server: str
+    born: int
+    offset: float
--- /dev/null
+++ b/wisteriagw/notices/_notice_table.py
@@ -0,0 +1,64 @@
+"""Conditions of all backend servers that gave notice."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wisteriagw.notices._application import apply_notice
+from wisteriagw.notices._server_condition import ServerCondition
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from wisteriagw.fleet import BackendServer
+    from wisteriagw.notices._departure import Departure
+
+# Conditions of servers that are no longer registered are kept for this long after their
+# last notice: a VM that is cut off may know the server for longer.
+KEPT_SECONDS = 60.0
+
+
+class NoticeTable:
+    """Combines the notices of each server; those of an earlier process are ignored."""
+
+    def __init__(self) -> None:
+        self._conditions: dict[str, ServerCondition] = {}
+        self._changed_at: dict[str, float] = {}
+
+    def record(self, notice: Departure, at: float) -> bool:
+        """Record a notice given at a time; return whether it tells anything new."""
+        known = self._conditions.get(notice.server)
+        if known is not None and known.born > notice.born:
+            return False
+        if known is None or known.born < notice.born:
+            known = ServerCondition(notice.born)
+        condition = apply_notice(notice, known, at)
+        if condition is known:
+            return False
+        self._conditions[notice.server] = condition
+        self._changed_at[notice.server] = at
+        return True
+
+    def find(self, server: BackendServer) -> ServerCondition | None:
+        """Return what the process of a server gave notice of, or None."""
+        condition = self._conditions.get(server.name)
+        if condition is None or condition.born != server.born:
+            return None
+        return condition
+
+    def is_leaving(self, server: BackendServer, offset: float) -> bool:
+        """Return whether an entry of a server at an offset is overruled by a notice."""
+        condition = self.find(server)
+        return condition is not None and condition.left_offset >= offset
+
+    def list_conditions(self) -> list[tuple[str, ServerCondition]]:
+        """Return rows of backend server and condition."""
+        return list(self._conditions.items())
+
+    def expire(self, registered: Collection[str], now: float) -> None:
+        """Forget servers that are gone; must be called periodically."""
+        for name, changed_at in list(self._changed_at.items()):
+            if name in registered or now - changed_at < KEPT_SECONDS:
+                continue
+            del self._changed_at[name]
+            del self._conditions[name]
--- /dev/null
+++ b/wisteriagw/notices/_server_condition.py
@@ -0,0 +1,23 @@
+"""What is known of one backend server by its own notices."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class ServerCondition(NamedTuple):
+    """Notices of one process of a backend server, combined.
+
+    Attributes
+    ----------
+    born : int
+        Start time of the process.
+    left_offset : float
+        Offset in the register up to which the server is leaving.
+    left_at : float
+        Time of the first notice of that.
+    """
+
+    born: int
+    left_offset: float = -1.0
+    left_at: float = 0.0
