Believe a server that says in an answer that it leaves

The platform's servers now say in each answer, with Server-Leaving: 1, that they leave; a request sent more than 2 s after such an answer must not reach them. Nothing read the header, so a server whose register entry was late, or whose notice this VM missed, went on to get requests.

Each answer to a forwarded request, refusals and prefills included, is read for notices, and the departure goes the way of those from the register: to all VMs, for the lifetime of that process. It is believed only with the request's own id (a repeated answer of an earlier process is not), and only for the value 1. A service whose servers all leave refuses at once.

Tests: TestLeavingServer; with the reading of answers taken out its cases fail, with that of prefills taken out test_prefill_by_a_leaving_engine, and without the check of the id test_answer_to_another_request_says_nothing.

--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -11,6 +11,7 @@
 from wisteriagw.notices import Departure, NoticeTable
 from wisteriagw.platform import StoreRecord
 
+EVENT = b"id: 1\ndata: t\n\n"
 # Two hops to and from relays, each with a delay for batching, and a further relay.
 SPREAD_SECONDS = 0.5
 # Time after a disturbance of a VM from which the platform's bounds hold for it.
@@ -131,3 +132,70 @@
             table.record(Departure(f"i-{number}", 1, 7.0), 1.0)
         table.expire({"i-3"}, 1_000.0)
         assert [name for name, _ in table.list_conditions()] == ["i-3"]
+
+
+class TestLeavingServer:
+    """A server that says in an answer that it leaves got further requests."""
+
+    def list_targets(self, gateway: GatewayFixture, route: str, count: int = 12):
+        before = len(gateway.pool.sent)
+        for _ in range(count):
+            gateway.request(route)
+        return {sent.address[0] for sent in gateway.pool.sent[before:]}
+
+    def answer(self, gateway: GatewayFixture, route: str, status: int, **headers: str):
+        gateway.request(route)
+        sent = gateway.pool.sent[-1]
+        sent.reply(status, EVENT, **headers)
+        return sent.address[0]
+
+    @pytest.mark.parametrize("route", ["unsafe", "safe", "ask"])
+    def test_answer_of_a_leaving_server(self, route: str) -> None:
+        gateway = GatewayFixture()
+        left = self.answer(gateway, route, 200, server_leaving="1")
+        assert left not in self.list_targets(gateway, route)
+
+    def test_refusal_of_a_leaving_server(self) -> None:
+        gateway = GatewayFixture()
+        headers = {"server_leaving": "1", "x_wisteriagw_not_executed": "1"}
+        self.answer(gateway, "unsafe", 503, **headers)
+        assert len(gateway.fleet.fleet.list_service("desk")) == 1
+
+    def test_prefill_by_a_leaving_engine(self) -> None:
+        gateway = GatewayFixture()
+        gateway.add_server("lm-9", "lm", 19, stage="prefill")
+        gateway.request("long", prompt="17000,20")
+        sent = gateway.pool.sent[-1]
+        assert sent.address[0] == "10.0.0.19"
+        sent.reply(200, b'{"kv_handle": "h"}', server_leaving="1")
+        assert gateway.fleet.fleet.servers["lm-9"].leaving
+
+    @pytest.mark.parametrize("value", ["0", "", "true", "11"])
+    def test_other_value_says_nothing(self, value: str) -> None:
+        gateway = GatewayFixture()
+        self.answer(gateway, "unsafe", 200, server_leaving=value)
+        assert len(gateway.fleet.fleet.list_service("desk")) == 2
+
+    def test_answer_to_another_request_says_nothing(self) -> None:
+        gateway = GatewayFixture()
+        headers = {"server_leaving": "1", "x_wisteriagw_request_id": "r0"}
+        self.answer(gateway, "unsafe", 200, **headers)
+        assert len(gateway.fleet.fleet.list_service("desk")) == 2
+
+    def test_service_whose_servers_all_leave_refuses_at_once(self) -> None:
+        gateway = GatewayFixture()
+        for _ in range(2):
+            self.answer(gateway, "unsafe", 200, server_leaving="1")
+        responder = gateway.request("unsafe")
+        assert responder.status == 503 and b"retry-after" in responder.headers
+        assert len(gateway.pool.sent) == 2
+
+    def test_register_entry_does_not_overrule_the_server(self) -> None:
+        gateway = GatewayFixture()
+        gateway.fleet.apply_relayed_changes([build_record(5)])
+        server = gateway.fleet.fleet.servers["i-1"]
+        gateway.notices.record(Departure("i-1", server.born, float("inf")))
+        gateway.fleet.apply_relayed_changes([build_record(9)])
+        assert gateway.fleet.fleet.servers["i-1"].leaving
+        gateway.fleet.apply_relayed_changes([build_record(10, born=2)])
+        assert not gateway.fleet.fleet.servers["i-1"].leaving
--- a/wisteriagw/gateway/_prompt_prefill.py
+++ b/wisteriagw/gateway/_prompt_prefill.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from wisteriagw.connections import Response, ResponseHead
+    from wisteriagw.fleet import BackendServer
     from wisteriagw.gateway._server_access import ServerAccess
     from wisteriagw.placement import Plan
 
@@ -47,7 +48,7 @@
         )
         try:
             self._response = await access.send(terms)
-            head, body = await self._read_answer(plan)
+            head, body = await self._read_answer(plan, server)
         except ConnectFailedError as error:
             access.record_failure(server.name, f"prefill: {error}")
             return None
@@ -80,12 +81,15 @@
             self._free_handle(*self._source)
             self._source = None
 
-    async def _read_answer(self, plan: Plan) -> tuple[ResponseHead, bytes]:
+    async def _read_answer(
+        self, plan: Plan, server: BackendServer
+    ) -> tuple[ResponseHead, bytes]:
         access = self._access
         timeout = PREFILL_TIMEOUT_FACTOR * max(
             access.route.target_seconds, plan.seconds
         )
         head = await access.wait_for_head(self._response, plan.prefill, timeout)
+        access.record_notices(server, head)
         return head, await self._response.read_body()
 
     def _abort_answer(self) -> None:
--- a/wisteriagw/gateway/_request_forwarder.py
+++ b/wisteriagw/gateway/_request_forwarder.py
@@ -244,6 +244,7 @@
             if not access.route.streaming:
                 self._count_usage()
             return MayHaveRun(str(error))
+        access.record_notices(server, head)
         return self._classify_answer(head, terms)
 
     def _classify_answer(self, head: ResponseHead, terms: ForwardingTerms) -> Outcome:
--- a/wisteriagw/gateway/_server_access.py
+++ b/wisteriagw/gateway/_server_access.py
@@ -21,6 +21,7 @@
 from wisteriagw.platform import (
     ForwardingTerms,
     belongs_to,
+    decode_notices,
     encode_forwarded,
     is_genuine,
     reports_not_run,
@@ -228,6 +229,11 @@
         """Return whether an answer was made by a backend server for the request."""
         return is_genuine(head, self._request_id)
 
+    def record_notices(self, server: BackendServer, head: ResponseHead) -> None:
+        """Record what a server says of itself in a response."""
+        for notice in decode_notices(head, self._request_id, server):
+            self.context.notices.record(notice)
+
     def find_address(self, server: str) -> tuple[str, int] | None:
         """Return the address of a server, None if it is gone."""
         backend_server = self.context.fleet.fleet.servers.get(server)
--- a/wisteriagw/platform/__init__.py
+++ b/wisteriagw/platform/__init__.py
@@ -37,6 +37,7 @@
     is_genuine,
     reports_not_run,
 )
+from wisteriagw.platform._server_notices import decode_notices
 from wisteriagw.platform._settings_file import SETTINGS_VARIABLE, parse_settings
 from wisteriagw.platform._store_client import CALL_TIMEOUT_SECONDS, StoreClient
 from wisteriagw.platform._store_page import StorePage
@@ -82,6 +83,7 @@
     "decode_configuration",
     "decode_entry",
     "decode_handle",
+    "decode_notices",
     "encode_addresses",
     "encode_forwarded",
     "encode_refusal",
--- /dev/null
+++ b/wisteriagw/platform/_server_notices.py
@@ -0,0 +1,31 @@
+"""Decoding of the notices that backend servers give in their responses."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from wisteriagw.notices import Departure
+from wisteriagw.platform._responses import REQUEST_ID
+
+if TYPE_CHECKING:
+    from wisteriagw.connections import ResponseHead
+    from wisteriagw.fleet import BackendServer
+
+SERVER_LEAVING = b"server-leaving"
+LEAVING = b"1"
+
+
+def decode_notices(
+    head: ResponseHead, request_id: bytes, server: BackendServer
+) -> list[Any]:
+    """Return the notices that a server gives in a response to a request.
+
+    One without the request's id gives none: it may be a repeated response of an earlier
+    process.
+    """
+    notices: list[Any] = []
+    if head.find_header(REQUEST_ID) != request_id:
+        return notices
+    if head.find_header(SERVER_LEAVING) == LEAVING:
+        notices.append(Departure(server.name, server.born, float("inf")))
+    return notices
