Send no requests to a server that refused one and asked for a pause

The platform's servers may add Retry-After to a 503: they want no requests for so long. It was not read, so a server in trouble went on to get its share of the load, and repeats went on to count against the retry budget.

The pause is a further notice beside the departure: it names the process, goes through the relays to all VMs and is repeated for VMs that were away. Placement leaves out a server that pauses; where all servers of a service do, the request is refused at once with the time until the first of them wants requests, spread over what callers honour. A server chosen before a prefill is checked again after it, and no run is continued at a copy on a paused server.

Negative values, words, dates and infinity ask for no pause; an hour is the longest. Ages in messages leave out the time on the way, so a notice that relays repeat would seem to end later each time: a relayed pause counts only if it ends more than half a second later.

--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -8,7 +8,7 @@
 
 from tests.support._gateway_fixture import GatewayFixture
 from tests.support._simulated_fleet import SimulatedFleet
-from wisteriagw.notices import Departure, NoticeTable
+from wisteriagw.notices import Departure, NoticeTable, Pause
 from wisteriagw.platform import StoreRecord
 
 EVENT = b"id: 1\ndata: t\n\n"
@@ -199,3 +199,107 @@
         assert gateway.fleet.fleet.servers["i-1"].leaving
         gateway.fleet.apply_relayed_changes([build_record(10, born=2)])
         assert not gateway.fleet.fleet.servers["i-1"].leaving
+
+
+class TestPausedServer:
+    """A server that refused a request and asked for a pause got further requests."""
+
+    def refuse(self, gateway: GatewayFixture, value: str | None, route="unsafe") -> str:
+        """Let a server refuse a request, and return its address."""
+        gateway.request(route)
+        sent = gateway.pool.sent[-1]
+        headers = {"x_wisteriagw_not_executed": "1"}
+        if value is not None:
+            headers["retry_after"] = value
+        sent.reply(503, **headers)
+        return sent.address[0]
+
+    def is_accepting(self, gateway: GatewayFixture, address: str) -> bool:
+        now = gateway.clock.seconds()
+        return any(
+            server.address[0] == address and not gateway.notices.find_wait(server, now)
+            for server in gateway.fleet.fleet.list_service("desk")
+        )
+
+    def list_targets(self, gateway: GatewayFixture, count: int = 20) -> set[str]:
+        before = len(gateway.pool.sent)
+        for _ in range(count):
+            gateway.request("unsafe")
+        return {sent.address[0] for sent in gateway.pool.sent[before:]}
+
+    @pytest.mark.parametrize("value", ["3", "3.0", " 3 ", "2.95"])
+    def test_no_request_until_its_end(self, value: str) -> None:
+        gateway = GatewayFixture()
+        paused = self.refuse(gateway, value)
+        for _ in range(29):
+            assert paused not in self.list_targets(gateway, 1)
+            gateway.clock.advance(0.1)
+        gateway.clock.advance(0.2)
+        assert self.is_accepting(gateway, paused)
+
+    @pytest.mark.parametrize(
+        "value",
+        [None, "", "-3", "nan", "inf", "soon", "1_0", "Wed, 21 Oct 2026 07:28:00 GMT"],
+    )
+    def test_value_that_is_no_time_asks_for_no_pause(self, value: str | None) -> None:
+        gateway = GatewayFixture()
+        assert self.is_accepting(gateway, self.refuse(gateway, value))
+
+    @pytest.mark.parametrize("value", ["1000000000000", "9" * 400])
+    def test_huge_value_ends_after_an_hour(self, value: str) -> None:
+        gateway = GatewayFixture()
+        paused = self.refuse(gateway, value)
+        gateway.clock.advance(3_500.0)
+        gateway.confirm()
+        assert not self.is_accepting(gateway, paused)
+        gateway.clock.advance(200.0)
+        assert self.is_accepting(gateway, paused)
+
+    def test_other_status_asks_for_no_pause(self) -> None:
+        gateway = GatewayFixture()
+        gateway.request("unsafe")
+        sent = gateway.pool.sent[-1]
+        sent.reply(429, retry_after="3", x_wisteriagw_not_executed="1")
+        assert self.is_accepting(gateway, sent.address[0])
+
+    def test_longer_pause_replaces_a_shorter_one_only(self) -> None:
+        table = NoticeTable()
+        table.record(Pause("i-1", 1, 4.0), 10.0)
+        table.record(Pause("i-1", 1, 1.0), 11.0)
+        server = GatewayFixture().fleet.fleet.servers["desk-1"]
+        server = server._replace(name="i-1", born=1)
+        assert table.find_pause(server, 12.0) == 2.0
+        table.record(Pause("i-1", 1, 4.0), 12.0)
+        assert table.find_pause(server, 12.0) == 4.0
+        assert table.find_pause(server._replace(born=2), 12.0) == 0.0
+
+    def test_service_whose_servers_all_pause_refuses_at_once(self) -> None:
+        """Retry-After is the time until the first of them wants requests."""
+        gateway = GatewayFixture()
+        self.refuse(gateway, "3")
+        self.refuse(gateway, "2")
+        before = len(gateway.pool.sent)
+        responder = gateway.request("unsafe")
+        assert responder.status == 503 and responder.ended
+        assert 2.0 <= float(responder.headers[b"retry-after"]) < 3.0
+        assert len(gateway.pool.sent) == before
+
+    def test_repeated_notices_of_all_vms_do_not_extend_it(self) -> None:
+        fleet = SimulatedFleet({"north": 4, "south": 2, "west": 1})
+        fleet.advance(2.0)
+        for gateway in fleet.gateways.values():
+            gateway.fleet.apply_relayed_changes([build_record(1)])
+        fleet.gateways["north-4"].notices.record(Pause("i-1", 1, 8.0))
+        fleet.advance(SPREAD_SECONDS)
+        assert len(self.list_paused(fleet)) == 7
+        fleet.advance(8.0)
+        assert self.list_paused(fleet) == []
+
+    def list_paused(self, fleet: SimulatedFleet) -> list[str]:
+        return [
+            vm
+            for vm, gateway in fleet.gateways.items()
+            if gateway.notices.find_wait(
+                gateway.fleet.fleet.servers["i-1"], gateway.clock.seconds()
+            )
+        ]
--- a/wisteriagw/gateway/_request_forwarder.py
+++ b/wisteriagw/gateway/_request_forwarder.py
@@ -78,7 +78,7 @@
             return refusal
         plan = access.place(excluded)
         if plan is None:
-            return NO_SERVER
+            return access.explain_no_server(excluded) or NO_SERVER
         if not excluded and access.is_queue_too_long(plan):
             return QUEUE_TOO_LONG
         source = await self._prefill.run(plan) if plan.prefill else None
@@ -87,11 +87,12 @@
         if refusal is not None:
             return refusal
         server = access.context.fleet.fleet.servers.get(plan.server)
-        if server is None or server.leaving:
-            # The server was removed or began to leave during the prefill.
-            plan = access.place((*excluded, plan.server))
+        if not access.accepts_work(server):
+            # The server was removed or gave notice during the prefill.
+            excluded = (*excluded, plan.server)
+            plan = access.place(excluded)
             if plan is None:
-                return NO_SERVER
+                return access.explain_no_server(excluded) or NO_SERVER
             server = access.context.fleet.fleet.servers[plan.server]
         self._backup = access.choose_backup(server.name)
         terms = access.build_terms(server)._replace(
@@ -121,7 +122,9 @@
         if backup is None:
             return False
         known = self._access.context.fleet.fleet.servers.get(backup.name)
-        return known is not None and known.born == backup.born and not known.leaving
+        if known is None or known.born != backup.born:
+            return False
+        return self._access.accepts_work(known)
 
     async def continue_run(self, last_event: int | None) -> Outcome:
         """Continue the lost run at the engine that keeps its copy.
--- a/wisteriagw/gateway/_server_access.py
+++ b/wisteriagw/gateway/_server_access.py
@@ -17,6 +17,7 @@
     find_patience,
     is_queue_too_long,
     is_returning,
+    spread_return,
 )
 from wisteriagw.platform import (
     ForwardingTerms,
@@ -156,6 +157,31 @@
         message = f"engines ended under the prompt parts {', '.join(parts)}"
         return RefusedNotRun("crashing_prompt", message, left)
 
+    def accepts_work(self, server: BackendServer | None) -> bool:
+        """Return whether a server that was chosen before may still get the request."""
+        if server is None or server.leaving:
+            return False
+        return not self.context.notices.table.find_pause(
+            server, self.context.reactor.seconds()
+        )
+
+    def explain_no_server(self, excluded: tuple[str, ...]) -> RefusedNotRun | None:
+        """Return the refusal if servers will take the request later, or None."""
+        context = self.context
+        now = context.reactor.seconds()
+        waits = []
+        for server in context.fleet.fleet.list_service(self.service.name):
+            wait = context.notices.find_wait(server, now)
+            if wait and server.name not in excluded:
+                waits.append(wait)
+        if not waits:
+            return None
+        # All callers that are refused until then must not return together.
+        left = max(0.0, self.deadline - now)
+        retry_after = max(min(waits), spread_return(left, context.draw()))
+        message = f"the backend servers want no requests for {min(waits):.2f} s"
+        return RefusedNotRun("backpressure", message, retry_after)
+
     def choose_backup(self, running: str) -> BackendServer | None:
         """Return the engine that keeps a copy of the run, or None if none does.
 
@@ -245,6 +271,7 @@
             server
             for server in context.fleet.fleet.list_service(self.service.name)
             if not context.work.is_unavailable(server.name, now)
+            and not context.notices.find_wait(server, now)
         ]
         return context.work.list_views(servers, self.caller.prompt, now)
 
--- a/wisteriagw/gateway/notices/_notice_board.py
+++ b/wisteriagw/gateway/notices/_notice_board.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
 from wisteriagw.gateway.notices._notice_queue import NoticeQueue
@@ -12,8 +13,15 @@
     from collections.abc import Callable, Collection
     from typing import Any
 
+    from wisteriagw.fleet import BackendServer
     from wisteriagw.messages import ServerNotices
 
+logger = logging.getLogger(__name__)
+
+# Ages in messages leave out the time on the way through relays, so that a notice seems
+# to be given later by this much at most.
+MAX_DELAY_SECONDS = 0.5
+
 
 class NoticeBoard:
     """Tells the other VMs what a server said to this one or to the store.
@@ -47,27 +55,36 @@
         now = self._clock()
         if not self.table.record(notice, now):
             return
+        self._log(notice)
         self.reports.add(notice, now)
         self.on_report()
         self.on_change(notice.server)
 
+    def find_wait(self, server: BackendServer, now: float) -> float:
+        """Return the seconds until a server wants requests of this VM again."""
+        return self.table.find_pause(server, now)
+
     def apply_reports(self, reports: ServerNotices, now: float) -> ServerNotices:
         """Apply the notices of a peer; return those that are new to this VM."""
         changed = []
         for notice, at in decode_rows(reports, now):
-            if self.table.record(notice, at):
+            if self.table.record(notice, at, MAX_DELAY_SECONDS):
+                self._log(notice)
                 changed.append((notice, at))
                 self.on_change(notice.server)
         return encode_rows(changed, now)
 
     def list_repeated(self, now: float) -> ServerNotices:
         """Return all notices in force, for VMs that missed them."""
-        return encode_rows(list_notices(self.table), now)
+        return encode_rows(list_notices(self.table, now), now)
 
     def expire(self, registered: Collection[str]) -> None:
         """Forget servers that are gone; must be called periodically."""
         self.table.expire(registered, self._clock())
 
+    def _log(self, notice: Any) -> None:
+        logger.info("notice of a backend server: %s", notice)
+
 
 def _ignore(*arguments: str) -> None:
     """Do nothing while nobody listens."""
--- a/wisteriagw/messages/_server_notices.py
+++ b/wisteriagw/messages/_server_notices.py
@@ -16,6 +16,10 @@
     departures : tuple
         Rows of backend server, its start time, offset in the register up to which it
         is leaving, and seconds since the notice.
+    pauses : tuple
+        Rows of backend server, its start time, seconds for which it wants no requests,
+        and seconds since the notice.
     """
 
     departures: tuple = ()
+    pauses: tuple = ()
--- a/wisteriagw/notices/_application.py
+++ b/wisteriagw/notices/_application.py
@@ -6,14 +6,18 @@
 from typing import TYPE_CHECKING
 
 from wisteriagw.notices._departure import Departure
+from wisteriagw.notices._pause import Pause
 
 if TYPE_CHECKING:
     from wisteriagw.notices._server_condition import ServerCondition
 
+# A server that names a longer time is asked again after this one.
+MAX_PAUSE_SECONDS = 3_600.0
+
 
 @singledispatch
 def apply_notice(
-    notice: object, condition: ServerCondition, at: float
+    notice: object, condition: ServerCondition, at: float, delay: float
 ) -> ServerCondition:
     """Return the condition of a server after a notice.
 
@@ -25,12 +29,26 @@
         What is known without it. It is returned itself if the notice adds nothing.
     at : float
         Time in seconds at which the server gave notice.
+    delay : float
+        Seconds by which it may have been earlier.
     """
     raise TypeError(f"not a notice: {notice!r}")
 
 
 @apply_notice.register(Departure)
-def _(notice: Departure, condition: ServerCondition, at: float) -> ServerCondition:
+def _(
+    notice: Departure, condition: ServerCondition, at: float, delay: float
+) -> ServerCondition:
     if notice.offset <= condition.left_offset:
         return condition
     return condition._replace(left_offset=notice.offset, left_at=at)
+
+
+@apply_notice.register(Pause)
+def _(
+    notice: Pause, condition: ServerCondition, at: float, delay: float
+) -> ServerCondition:
+    until = at + min(notice.seconds, MAX_PAUSE_SECONDS)
+    if until <= condition.paused_until + delay:
+        return condition
+    return condition._replace(paused_at=at, paused_until=until)
--- a/wisteriagw/notices/_notice_table.py
+++ b/wisteriagw/notices/_notice_table.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from wisteriagw.notices._application import apply_notice
 from wisteriagw.notices._server_condition import ServerCondition
@@ -11,7 +11,6 @@
     from collections.abc import Collection
 
     from wisteriagw.fleet import BackendServer
-    from wisteriagw.notices._departure import Departure
 
 # Conditions of servers that are no longer registered are kept for this long after their
 # last notice: a VM that is cut off may know the server for longer.
@@ -25,14 +24,17 @@
         self._conditions: dict[str, ServerCondition] = {}
         self._changed_at: dict[str, float] = {}
 
-    def record(self, notice: Departure, at: float) -> bool:
-        """Record a notice given at a time; return whether it tells anything new."""
+    def record(self, notice: Any, at: float, delay: float = 0.0) -> bool:
+        """Record a notice given at a time; return whether it tells anything new.
+
+        ``delay`` is the time in seconds by which it may have been given earlier.
+        """
         known = self._conditions.get(notice.server)
         if known is not None and known.born > notice.born:
             return False
         if known is None or known.born < notice.born:
             known = ServerCondition(notice.born)
-        condition = apply_notice(notice, known, at)
+        condition = apply_notice(notice, known, at, delay)
         if condition is known:
             return False
         self._conditions[notice.server] = condition
@@ -51,6 +53,11 @@
         condition = self.find(server)
         return condition is not None and condition.left_offset >= offset
 
+    def find_pause(self, server: BackendServer, now: float) -> float:
+        """Return the seconds for which a server wants no requests."""
+        condition = self.find(server)
+        return 0.0 if condition is None else max(0.0, condition.paused_until - now)
+
     def list_conditions(self) -> list[tuple[str, ServerCondition]]:
         """Return rows of backend server and condition."""
         return list(self._conditions.items())
--- a/wisteriagw/notices/_server_condition.py
+++ b/wisteriagw/notices/_server_condition.py
@@ -16,8 +16,12 @@
         Offset in the register up to which the server is leaving.
     left_at : float
         Time of the first notice of that.
+    paused_at, paused_until : float
+        Time of the notice that it wants no requests, and end of that time.
     """
 
     born: int
     left_offset: float = -1.0
     left_at: float = 0.0
+    paused_at: float = 0.0
+    paused_until: float = float("-inf")
--- a/wisteriagw/platform/_server_notices.py
+++ b/wisteriagw/platform/_server_notices.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING, Any
 
-from wisteriagw.notices import Departure
+from wisteriagw.notices import Departure, Pause
 from wisteriagw.platform._responses import REQUEST_ID
 
 if TYPE_CHECKING:
@@ -13,6 +14,9 @@
 
 SERVER_LEAVING = b"server-leaving"
 LEAVING = b"1"
+RETRY_AFTER = b"retry-after"
+DECIMAL = re.compile(rb"[0-9]+(\.[0-9]*)?|\.[0-9]+")
+UNAVAILABLE = 503
 
 
 def decode_notices(
@@ -28,4 +32,18 @@
         return notices
     if head.find_header(SERVER_LEAVING) == LEAVING:
         notices.append(Departure(server.name, server.born, float("inf")))
+    if head.status == UNAVAILABLE:
+        seconds = parse_decimal(head.find_header(RETRY_AFTER))
+        if seconds:
+            notices.append(Pause(server.name, server.born, seconds))
     return notices
+
+
+def parse_decimal(value: bytes | None) -> float | None:
+    """Return a number that is not negative, or None if the value is none.
+
+    A number beyond the range of floats is infinite.
+    """
+    if value is None or DECIMAL.fullmatch(value.strip()) is None:
+        return None
+    return float(value)
