Share the limit that a server names between all VMs

Servers in need name in their answers the requests a second that they take from all machines together.

The limit is a further notice: it names the process, reaches all VMs through the relays, is repeated for VMs that were away, and ends with the first answer that names none, for all VMs too. Each VM admits its share by a token bucket. The share follows the VM's part in the open requests for the service, so it moves with the callers; a quarter is shared equally, so that a VM can begin. A VM that sees no others takes no more than its part of those registered. With more VMs than two seconds of the limit only some of them send to the server, since each may send one request at any moment: otherwise 40 VMs with a limit of 3 could send 52 requests at once (test_sum).

Prefills, repeats and runs that go on at a copy are counted like first attempts. Requests above the share go to other servers; where none takes them they are refused at once with the time until the next token, spread over what callers honour. A server whose limit is 0 is still asked now and then, or it could not say that the limit has ended.

--- a/tests/support/_gateway_fixture.py
+++ b/tests/support/_gateway_fixture.py
@@ -199,7 +199,7 @@
         )
         self.configuration.table = TABLE
         self.confirm()
-        self.notices = NoticeBoard(self.clock.seconds)
+        self.notices = NoticeBoard(self.clock.seconds, self.work, "vm-1")
         self.fleet = FleetFeed(
             self.clock, self.store, lambda server: None, notices=self.notices
         )
--- a/tests/support/_simulated_fleet.py
+++ b/tests/support/_simulated_fleet.py
@@ -83,7 +83,7 @@
             self.clock, self.store, 5.0, lambda table: None
         )
         self.configuration.table = TABLE
-        self.notices = NoticeBoard(self.clock.seconds)
+        self.notices = NoticeBoard(self.clock.seconds, self.work, vm)
         self.fleet = FleetFeed(
             self.clock, self.store, lambda server: None, notices=self.notices
         )
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -188,7 +188,8 @@
     ) -> GatewayContext:
         reactor, settings = self._reactor, self._settings
         usage = UsageCounter(settings.usage_window, wall_clock)
-        notices = NoticeBoard(reactor.seconds)
+        work = WorkTable()
+        notices = NoticeBoard(reactor.seconds, work, settings.vm)
         fleet = FleetFeed(
             reactor,
             store,
@@ -196,7 +197,6 @@
             find_read_wait(settings.contact_seconds, settings.drain_seconds),
             notices,
         )
-        work = WorkTable()
         log, metrics = DecisionLog(reactor.seconds), GatewayMetrics()
         crashing_parts = CrashingParts(reactor.seconds)
         return GatewayContext(
--- a/wisteriagw/gateway/_prompt_prefill.py
+++ b/wisteriagw/gateway/_prompt_prefill.py
@@ -42,6 +42,7 @@
             context.work, server.name, plan.uncached_tokens
         )
         access.record_parts(server.name)
+        access.count_request(server.name)
         started = context.reactor.seconds()
         terms = access.build_terms(server)._replace(
             prefill_only=True, fetch_from=access.find_address(plan.fetch_from)
--- a/wisteriagw/gateway/_request_forwarder.py
+++ b/wisteriagw/gateway/_request_forwarder.py
@@ -81,6 +81,8 @@
             return access.explain_no_server(excluded) or NO_SERVER
         if not excluded and access.is_queue_too_long(plan):
             return QUEUE_TOO_LONG
+        # Counted before the prefill, during which other requests are placed.
+        access.count_request(plan.server)
         source = await self._prefill.run(plan) if plan.prefill else None
         # The parts may have crashed engines during the prefill.
         refusal = access.find_quarantine() if plan.prefill else None
@@ -93,6 +95,7 @@
             plan = access.place(excluded)
             if plan is None:
                 return access.explain_no_server(excluded) or NO_SERVER
+            access.count_request(plan.server)
             server = access.context.fleet.fleet.servers[plan.server]
         self._backup = access.choose_backup(server.name)
         terms = access.build_terms(server)._replace(
@@ -138,6 +141,7 @@
         if refusal is not None:
             self.server = ""
             return refusal
+        access.count_request(backup.name)
         terms = access.build_terms(backup)._replace(
             source=(backup.address, access.caller.request_id),
             last_event=self._find_resume_point(last_event),
--- a/wisteriagw/gateway/_server_access.py
+++ b/wisteriagw/gateway/_server_access.py
@@ -157,6 +157,13 @@
         message = f"engines ended under the prompt parts {', '.join(parts)}"
         return RefusedNotRun("crashing_prompt", message, left)
 
+    def count_request(self, server: str) -> None:
+        """Count a request that is sent to a server against its limit."""
+        context = self.context
+        known = context.fleet.fleet.servers.get(server)
+        if known is not None:
+            context.notices.limiter.take(known, context.reactor.seconds())
+
     def accepts_work(self, server: BackendServer | None) -> bool:
         """Return whether a server that was chosen before may still get the request."""
         if server is None or server.leaving:
--- a/wisteriagw/gateway/_update_exchange.py
+++ b/wisteriagw/gateway/_update_exchange.py
@@ -21,6 +21,7 @@
 from wisteriagw.gateway.notices import NoticeQueue
 from wisteriagw.gateway.reports import ReportExchange
 from wisteriagw.messages import CrashReports, ServerNotices
+from wisteriagw.ratelimits import VmCounts
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -128,6 +129,7 @@
         self._sender.send(peers, now)
         self._crash_reports.send(peers, now)
         self._notices.send(peers, now)
+        self._update_limits(now)
         self._initial_state.send()
 
     def announce_unavailable(self, server: str, seconds: float) -> None:
@@ -153,6 +155,14 @@
         }
         return {**self._copies.get(window), self._incarnation: own}
 
+    def _update_limits(self, now: float) -> None:
+        limiter = self._context.notices.limiter
+        alive = self._members.list_alive(now)
+        limiter.vms = VmCounts(
+            self._context.settings.vm, alive, len(self._members.entries)
+        )
+        limiter.update(self._context.fleet.fleet, now)
+
     def _count_peers(self) -> int:
         local = sum(
             member.data_centre == self._data_centre
--- a/wisteriagw/gateway/notices/_notice_board.py
+++ b/wisteriagw/gateway/notices/_notice_board.py
@@ -6,8 +6,10 @@
 from typing import TYPE_CHECKING
 
 from wisteriagw.gateway.notices._notice_queue import NoticeQueue
+from wisteriagw.gateway.notices._request_limiter import RequestLimiter
 from wisteriagw.gateway.notices._rows import decode_rows, encode_rows
 from wisteriagw.notices import NoticeTable, list_notices
+from wisteriagw.placement import WorkTable
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
@@ -30,9 +32,15 @@
     ----------
     clock : callable
         Returns the time in seconds.
+    work : WorkTable or None
+        Requests of all VMs at the servers, by which limits are shared.
+    vm : str
+        This VM.
 
     Attributes
     ----------
+    limiter : RequestLimiter
+        Part of this VM in the limits that servers named.
     table : NoticeTable
         What is known of each server.
     reports : NoticeQueue
@@ -43,8 +51,14 @@
         Called with the name of a server when something new is known of it.
     """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        work: WorkTable | None = None,
+        vm: str = "",
+    ) -> None:
         self.table = NoticeTable()
+        self.limiter = RequestLimiter(self.table, work or WorkTable(), vm)
         self.reports = NoticeQueue()
         self.on_report: Callable[[], None] = _ignore
         self.on_change: Callable[[str], None] = _ignore
@@ -62,7 +76,9 @@
 
     def find_wait(self, server: BackendServer, now: float) -> float:
         """Return the seconds until a server wants requests of this VM again."""
-        return self.table.find_pause(server, now)
+        return max(
+            self.table.find_pause(server, now), self.limiter.find_wait(server, now)
+        )
 
     def apply_reports(self, reports: ServerNotices, now: float) -> ServerNotices:
         """Apply the notices of a peer; return those that are new to this VM."""
--- a/wisteriagw/gateway/notices/_rows.py
+++ b/wisteriagw/gateway/notices/_rows.py
@@ -5,14 +5,14 @@
 from typing import TYPE_CHECKING
 
 from wisteriagw.messages import ServerNotices
-from wisteriagw.notices import Departure, Pause
+from wisteriagw.notices import Departure, Pause, RateLimit
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from typing import Any
 
 # Kind of notice by the field of the message that holds its rows.
-KINDS = {"departures": Departure, "pauses": Pause}
+KINDS = {"departures": Departure, "pauses": Pause, "rate_limits": RateLimit}
 
 
 def encode_rows(notices: Iterable[tuple[Any, float]], now: float) -> ServerNotices:
--- a/wisteriagw/messages/_server_notices.py
+++ b/wisteriagw/messages/_server_notices.py
@@ -19,7 +19,11 @@
     pauses : tuple
         Rows of backend server, its start time, seconds for which it wants no requests,
         and seconds since the notice.
+    rate_limits : tuple
+        Rows of backend server, its start time, requests per second that it takes from
+        all VMs, infinite if it named no limit any more, and seconds since the notice.
     """
 
     departures: tuple = ()
     pauses: tuple = ()
+    rate_limits: tuple = ()
--- a/wisteriagw/notices/__init__.py
+++ b/wisteriagw/notices/__init__.py
@@ -6,6 +6,14 @@
 from wisteriagw.notices._listing import list_notices
 from wisteriagw.notices._notice_table import NoticeTable
 from wisteriagw.notices._pause import Pause
+from wisteriagw.notices._rate_limit import RateLimit
 from wisteriagw.notices._server_condition import ServerCondition
 
-__all__ = ["Departure", "NoticeTable", "Pause", "ServerCondition", "list_notices"]
+__all__ = [
+    "Departure",
+    "NoticeTable",
+    "Pause",
+    "RateLimit",
+    "ServerCondition",
+    "list_notices",
+]
--- a/wisteriagw/notices/_application.py
+++ b/wisteriagw/notices/_application.py
@@ -7,6 +7,7 @@
 
 from wisteriagw.notices._departure import Departure
 from wisteriagw.notices._pause import Pause
+from wisteriagw.notices._rate_limit import RateLimit
 
 if TYPE_CHECKING:
     from wisteriagw.notices._server_condition import ServerCondition
@@ -52,3 +53,12 @@
     if until <= condition.paused_until + delay:
         return condition
     return condition._replace(paused_at=at, paused_until=until)
+
+
+@apply_notice.register(RateLimit)
+def _(
+    notice: RateLimit, condition: ServerCondition, at: float, delay: float
+) -> ServerCondition:
+    if notice.rate == condition.rate or at <= condition.rate_at:
+        return condition
+    return condition._replace(rate=notice.rate, rate_at=at)
--- a/wisteriagw/notices/_listing.py
+++ b/wisteriagw/notices/_listing.py
@@ -6,10 +6,13 @@
 
 from wisteriagw.notices._departure import Departure
 from wisteriagw.notices._pause import Pause
+from wisteriagw.notices._rate_limit import RateLimit
 
 if TYPE_CHECKING:
     from wisteriagw.notices._notice_table import NoticeTable
 
+NEVER = float("-inf")
+
 
 def list_notices(table: NoticeTable, now: float) -> list[tuple[Any, float]]:
     """Return the notices in force, each with the time at which it was given."""
@@ -22,4 +25,8 @@
             seconds = condition.paused_until - condition.paused_at
             pause = Pause(name, condition.born, seconds)
             notices.append((pause, condition.paused_at))
+        if condition.rate_at > NEVER:
+            # The end of a limit is repeated too.
+            limit = RateLimit(name, condition.born, condition.rate)
+            notices.append((limit, condition.rate_at))
     return notices
--- a/wisteriagw/notices/_notice_table.py
+++ b/wisteriagw/notices/_notice_table.py
@@ -8,13 +8,14 @@
 from wisteriagw.notices._server_condition import ServerCondition
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Mapping
 
     from wisteriagw.fleet import BackendServer
 
 # Conditions of servers that are no longer registered are kept for this long after their
 # last notice: a VM that is cut off may know the server for longer.
 KEPT_SECONDS = 60.0
+INFINITY = float("inf")
 
 
 class NoticeTable:
@@ -58,6 +59,24 @@
         condition = self.find(server)
         return 0.0 if condition is None else max(0.0, condition.paused_until - now)
 
+    def get_rate_limit(self, server: BackendServer) -> float | None:
+        """Return the requests per second that a server takes from all VMs, or None."""
+        condition = self.find(server)
+        if condition is None or condition.rate == INFINITY:
+            return None
+        return condition.rate
+
+    def list_limited(self, servers: Mapping[str, BackendServer]) -> list[BackendServer]:
+        """Return the servers that name a limit, out of some by name."""
+        limited = []
+        for name, condition in self._conditions.items():
+            server = servers.get(name)
+            if server is None or condition.born != server.born:
+                continue
+            if condition.rate != INFINITY:
+                limited.append(server)
+        return limited
+
     def list_conditions(self) -> list[tuple[str, ServerCondition]]:
         """Return rows of backend server and condition."""
         return list(self._conditions.items())
--- a/wisteriagw/notices/_server_condition.py
+++ b/wisteriagw/notices/_server_condition.py
@@ -18,6 +18,9 @@
         Time of the first notice of that.
     paused_at, paused_until : float
         Time of the notice that it wants no requests, and end of that time.
+    rate, rate_at : float
+        Requests per second that it takes from all VMs, and time of the notice of that;
+        infinite without a limit.
     """
 
     born: int
@@ -25,3 +28,5 @@
     left_at: float = 0.0
     paused_at: float = 0.0
     paused_until: float = float("-inf")
+    rate: float = float("inf")
+    rate_at: float = float("-inf")
--- a/wisteriagw/platform/_server_notices.py
+++ b/wisteriagw/platform/_server_notices.py
@@ -5,7 +5,7 @@
 import re
 from typing import TYPE_CHECKING, Any
 
-from wisteriagw.notices import Departure, Pause
+from wisteriagw.notices import Departure, Pause, RateLimit
 from wisteriagw.platform._responses import REQUEST_ID
 
 if TYPE_CHECKING:
@@ -15,6 +15,7 @@
 SERVER_LEAVING = b"server-leaving"
 LEAVING = b"1"
 RETRY_AFTER = b"retry-after"
+SERVER_LIMIT = b"server-limit"
 DECIMAL = re.compile(rb"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 UNAVAILABLE = 503
 
@@ -36,6 +37,10 @@
         seconds = parse_decimal(head.find_header(RETRY_AFTER))
         if seconds:
             notices.append(Pause(server.name, server.born, seconds))
+    limit = head.find_header(SERVER_LIMIT)
+    rate = float("inf") if limit is None else parse_decimal(limit)
+    if rate is not None:
+        notices.append(RateLimit(server.name, server.born, rate))
     return notices
 
 
