Share limits among any number of VMs by demand

With more VMs than two seconds of a limit, only VMs drawn by hash sent to the server. Now every VM has a share that follows its demand. What made the draw necessary, a token kept by each VM without requests, is bounded instead: an unused token lapses after a second, and the first token of each VM is filled to a part that differs between VMs, so that they do not come together.

--- a/wisteriagw/gateway/_update_exchange.py
+++ b/wisteriagw/gateway/_update_exchange.py
@@ -157,10 +157,8 @@
 
     def _update_limits(self, now: float) -> None:
         limiter = self._context.notices.limiter
-        alive = self._members.list_alive(now)
-        limiter.vms = VmCounts(
-            self._context.settings.vm, alive, len(self._members.entries)
-        )
+        alive = len(self._members.list_alive(now))
+        limiter.vms = VmCounts(alive, len(self._members.entries))
         limiter.update(self._context.fleet.fleet, now)
 
     def _count_peers(self) -> int:
--- a/wisteriagw/gateway/notices/_request_limiter.py
+++ b/wisteriagw/gateway/notices/_request_limiter.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import xxhash
+
 from wisteriagw.ratelimits import (
     Demand,
     TokenBucket,
@@ -19,6 +21,8 @@
 
 Process = tuple[str, int]
 
+HASH_RANGE = 2.0**64
+
 
 class RequestLimiter:
     """Shares the limit of each server between this VM and the others.
@@ -30,7 +34,8 @@
     """
 
     def __init__(self, table: NoticeTable, work: WorkTable, vm: str) -> None:
-        self.vms = VmCounts(vm, (vm,), 1)
+        self.vms = VmCounts(1, 1)
+        self._vm = vm
         self._table = table
         self._work = work
         self._buckets: dict[Process, TokenBucket] = {}
@@ -73,13 +78,15 @@
     def _set_share(self, server: BackendServer, now: float) -> None:
         limit = self._table.get_rate_limit(server)
         demand = self._demand.get(server.service)
-        rate, depth = find_share(server.name, limit, demand, self.vms)
+        rate = find_share(limit, demand, self.vms)
         process = (server.name, server.born)
         if process not in self._buckets:
             since = min(now, self._table.find(server).rate_at)
-            self._buckets[process] = TokenBucket(since)
-            self._buckets[process].set_rate(rate, depth, since)
-        self._buckets[process].set_rate(rate, depth, now)
+            key = f"{server.name}\0{self._vm}".encode()
+            level = xxhash.xxh3_64_intdigest(key) / HASH_RANGE
+            self._buckets[process] = TokenBucket(since, level)
+            self._buckets[process].set_rate(rate, since)
+        self._buckets[process].set_rate(rate, now)
 
     def _add_sample(self, service: str, fleet: Fleet, now: float) -> None:
         names = {
