Let an engine without a limit decode where all decode engines name one

Stage planning now counts limits: if every decode engine names one and a prefill engine names none, one such engine changes to decode, which each stream needs; only long prompts need a prefill engine. One change is enough to end the rule, and the usual targets allow the deviation, so nothing swings back.

Test: TestPlanStages, which failed without the rule.

--- a/tests/test_capacity_orders.py
+++ b/tests/test_capacity_orders.py
@@ -11,6 +11,7 @@
 from wisteriagw.gateway._cache_survey import CacheSurvey
 from wisteriagw.gateway._scaler import ORDER_PAUSE_SECONDS, Scaler
 from wisteriagw.gateway._stage_controller import LATE_ORDER_SECONDS, StageController
+from wisteriagw.notices import NoticeTable
 from wisteriagw.outcomes import Done, MayHaveRun
 from wisteriagw.placement import WorkTable
 from wisteriagw.roles import (
@@ -87,6 +88,33 @@
         assert self.plan(self.build("prefill", "decode")) is None
         assert self.plan(self.build("decode")) is None
 
+    def limit(self, engines, stage: str, count: int):
+        """Let the first engines of a stage name a limit."""
+        names = [engine.name for engine in engines if engine.stage == stage][:count]
+        return [e._replace(limited=e.name in names) for e in engines]
+
+    def test_unlimited_engine_decodes_where_all_decode_engines_name_limits(
+        self,
+    ) -> None:
+        """Load: streams beyond the limits were refused while prefill engines idled."""
+        engines = self.build(*["prefill"] * 6, *["decode"] * 5)
+        limited = self.limit(self.limit(engines, "decode", 5), "prefill", 3)
+        change = self.plan(limited)
+        assert change.stage == "decode" and change.engine in ("e3", "e4", "e5")
+        ordered = [
+            e._replace(stage="decode", changing=True) if e.name == change.engine else e
+            for e in limited
+        ]
+        assert self.plan(ordered) is None
+        assert self.plan(self.limit(engines, "decode", 4)) is None
+
+    def test_limits_of_all_engines_change_no_stage(self) -> None:
+        engines = self.build(*["prefill"] * 6, *["decode"] * 5)
+        limited = [engine._replace(limited=True) for engine in engines]
+        assert self.plan(limited) is None
+        one = self.build("prefill", *["decode"] * 2)
+        assert self.plan(self.limit(one, "decode", 2)) is None
+
     def test_number_of_changes_in_progress_is_limited(self) -> None:
         assert self.plan(self.build(*["decode"] * 10, changing=2)) is None
 
@@ -165,6 +193,7 @@
             FakeConfiguration(),
             self.fleet,
             WorkTable(),
+            NoticeTable(),
             lambda *arguments: self.announced.append(arguments),
         )
 
--- a/wisteriagw/gateway/_authority_duties.py
+++ b/wisteriagw/gateway/_authority_duties.py
@@ -60,6 +60,7 @@
             context.configuration,
             context.fleet,
             context.work,
+            context.notices.table,
             exchange.announce_unavailable,
         )
         self._reporter = UsageReporter(
--- a/wisteriagw/gateway/_stage_controller.py
+++ b/wisteriagw/gateway/_stage_controller.py
@@ -14,6 +14,7 @@
     from wisteriagw.gateway._authority_controller import AuthorityController
     from wisteriagw.gateway._configuration_feed import ConfigurationFeed
     from wisteriagw.gateway._fleet_feed import FleetFeed
+    from wisteriagw.notices import NoticeTable
     from wisteriagw.placement import WorkTable
     from wisteriagw.platform import DutyClient
     from wisteriagw.roles import StageChange
@@ -40,6 +41,7 @@
         configuration: ConfigurationFeed,
         fleet: FleetFeed,
         work: WorkTable,
+        notices: NoticeTable,
         announce: Callable[[str, float], None],
     ) -> None:
         self._reactor = reactor
@@ -48,6 +50,7 @@
         self._configuration = configuration
         self._fleet = fleet
         self._work = work
+        self._notices = notices
         self._announce = announce
         self._ordered: dict[str, tuple[str, float]] = {}
         self._peaks: dict[str, float] = {}
@@ -92,6 +95,7 @@
                     stage if pending and stage else server.stage,
                     view.streams,
                     pending,
+                    self._notices.get_rate_limit(server) is not None,
                 )
             )
         return engines
--- a/wisteriagw/roles/_stage_planning.py
+++ b/wisteriagw/roles/_stage_planning.py
@@ -48,6 +48,10 @@
     Prefill engines are spread over the data centres, because a data centre may lose all
     its reclaimable engines at once.
 
+    Load: all decode engines name limits below the rate of the streams. Each stream is a
+    request to one of them, but only long prompts are one to a prefill engine, so an
+    engine without a limit is of more use for decode.
+
     Parameters
     ----------
     engines : sequence of StagedEngine
@@ -62,6 +66,11 @@
         return None
     target = count_prefill_engines(count, peak_streams, slots)
     prefill_engines = [engine for engine in engines if engine.stage == "prefill"]
+    unlimited = [engine for engine in engines if not engine.limited]
+    if len(prefill_engines) > 1 and all(e.stage == "prefill" for e in unlimited):
+        change = pick_change(unlimited, "decode")
+        if change is not None:
+            return change
     if not prefill_engines or len(prefill_engines) < target - MAX_DEVIATION:
         return pick_change(engines, "prefill")
     if len(prefill_engines) > target + MAX_DEVIATION:
--- a/wisteriagw/roles/_staged_engine.py
+++ b/wisteriagw/roles/_staged_engine.py
@@ -18,6 +18,8 @@
         Open requests that must end before a change.
     changing : bool
         Whether a change is in progress.
+    limited : bool
+        Whether it named a limit on the requests that it takes.
     """
 
     name: str
@@ -25,3 +27,4 @@
     stage: str
     streams: float = 0.0
     changing: bool = False
+    limited: bool = False
