--- a/tests/test_capacity_orders.py
+++ b/tests/test_capacity_orders.py
@@ -91,7 +91,7 @@
     def limit(self, engines, stage: str, count: int):
         """Let the first engines of a stage name a limit."""
         names = [engine.name for engine in engines if engine.stage == stage][:count]
-        return [e._replace(limited=e.name in names) for e in engines]
+        return [e._replace(limited=e.limited or e.name in names) for e in engines]
 
     def test_unlimited_engine_decodes_where_all_decode_engines_name_limits(
         self,
