Let stages settle while engines name limits

Engines without a limit are now the first to be changed to decode and the last to be changed to prefill, so the two rules agree. The first test keeps its cases but for the one that assumed that no change follows; instead test_stages_settle_while_engines_name_limits plays all changes to the end: no engine is changed twice, and one without a limit decodes. It failed with the order of candidates as before.

--- a/tests/test_capacity_orders.py
+++ b/tests/test_capacity_orders.py
@@ -101,13 +101,28 @@
         limited = self.limit(self.limit(engines, "decode", 5), "prefill", 3)
         change = self.plan(limited)
         assert change.stage == "decode" and change.engine in ("e3", "e4", "e5")
-        ordered = [
-            e._replace(stage="decode", changing=True) if e.name == change.engine else e
-            for e in limited
-        ]
-        assert self.plan(ordered) is None
         assert self.plan(self.limit(engines, "decode", 4)) is None
 
+    @pytest.mark.parametrize("count", [3, 5, 11])
+    @pytest.mark.parametrize("streams", [0.0, 60.0])
+    def test_stages_settle_while_engines_name_limits(
+        self, count: int, streams: float
+    ) -> None:
+        """An engine that was changed for the limits must not be changed back."""
+        engines = self.build(*["prefill"] * (count // 2), *["decode"] * (count // 2))
+        engines = self.limit(engines, "decode", count)
+        changed = []
+        while (change := self.plan(engines, streams)) is not None:
+            changed.append(change.engine)
+            assert len(changed) <= count, changed
+            engines = [
+                e._replace(stage=change.stage) if e.name == change.engine else e
+                for e in engines
+            ]
+        assert len(changed) == len(set(changed))
+        free = [e.stage for e in engines if not e.limited]
+        assert "decode" in free or len(free) < 2
+
     def test_limits_of_all_engines_change_no_stage(self) -> None:
         engines = self.build(*["prefill"] * 6, *["decode"] * 5)
         limited = [engine._replace(limited=True) for engine in engines]
--- a/wisteriagw/roles/_stage_planning.py
+++ b/wisteriagw/roles/_stage_planning.py
@@ -67,10 +67,9 @@
     target = count_prefill_engines(count, peak_streams, slots)
     prefill_engines = [engine for engine in engines if engine.stage == "prefill"]
     unlimited = [engine for engine in engines if not engine.limited]
-    if len(prefill_engines) > 1 and all(e.stage == "prefill" for e in unlimited):
-        change = pick_change(unlimited, "decode")
-        if change is not None:
-            return change
+    can_swap = len(prefill_engines) > 1 and any(not e.changing for e in unlimited)
+    if can_swap and all(engine.stage == "prefill" for engine in unlimited):
+        return pick_change(engines, "decode")
     if not prefill_engines or len(prefill_engines) < target - MAX_DEVIATION:
         return pick_change(engines, "prefill")
     if len(prefill_engines) > target + MAX_DEVIATION:
@@ -81,7 +80,8 @@
 def pick_change(engines: Sequence[StagedEngine], stage: str) -> StageChange | None:
     """Return the change of one engine to a stage, or None.
 
-    The engine is in the data centre with the fewest engines of that stage, and has the
+    Engines without a limit go to decode first, and the others to prefill. Of these, the
+    engine is in the data centre with the fewest engines of that stage, and has the
     fewest streams there.
     """
     counts: dict[str, int] = {}
@@ -96,6 +96,11 @@
         return None
     chosen = min(
         candidates,
-        key=lambda engine: (counts[engine.data_centre], engine.streams, engine.name),
+        key=lambda engine: (
+            engine.limited is (stage == "decode"),
+            counts[engine.data_centre],
+            engine.streams,
+            engine.name,
+        ),
     )
     return StageChange(chosen.name, stage)
