Read on after an odd entry in any list

Another operator's machines ended again and again, or stopped following the list of workers, when another writer had left an odd entry in it. That can happen here too. Callers would have been sent to servers that had left, since the follower of the register ended with an error and nothing started it again.

Cause: text from others was checked field by field where it is decoded, but not everywhere, and not for all values. Deeply nested JSON raises RecursionError, numbers out of range raise OverflowError, and neither was caught; a port of 99999, a host name or a name with a line break was taken as an address or a name and failed, or was written into a header, when a request was sent.

Now JSON that others wrote goes through wisteriagw.jsondata, which turns deep nesting into a ValueError and checks types, ranges and printable text. Addresses are IPv4 with a port in range, names and handles fit in a header. As a last resort a follower that cannot apply a record logs it and reads on.

--- a/wisteriagw/clients/_backends_client.py
+++ b/wisteriagw/clients/_backends_client.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import inlineCallbacks
 
 from wisteriagw.clients._backends_unavailable import BackendsUnavailableError
+from wisteriagw.jsondata import load_json
 from wisteriagw.orders import ListedOrder, encode_order
 from wisteriagw.outcomes import Done
 
@@ -74,6 +75,6 @@
     if not isinstance(outcome, Done) or outcome.status != 200:
         raise BackendsUnavailableError(str(outcome))
     try:
-        return json.loads(outcome.body)
+        return load_json(outcome.body)
     except ValueError as error:
         raise BackendsUnavailableError(f"the reply is not JSON: {error}") from error
--- a/wisteriagw/clients/_vm_list_client.py
+++ b/wisteriagw/clients/_vm_list_client.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import json
 from typing import TYPE_CHECKING
 
 from twisted.internet.defer import inlineCallbacks
 
 from wisteriagw.clients._vm_entry import VmEntry
 from wisteriagw.clients._vm_list_unavailable import VmListUnavailableError
+from wisteriagw.jsondata import load_json
 from wisteriagw.outcomes import Done
 
 if TYPE_CHECKING:
@@ -38,6 +38,6 @@
         if not isinstance(outcome, Done) or outcome.status != 200:
             raise VmListUnavailableError(str(outcome))
         try:
-            return tuple(VmEntry(**fields) for fields in json.loads(outcome.body))
+            return tuple(VmEntry(**fields) for fields in load_json(outcome.body))
         except (TypeError, ValueError) as error:
             raise VmListUnavailableError(f"invalid list of VMs: {error}") from error
--- a/wisteriagw/control/_demand_reader.py
+++ b/wisteriagw/control/_demand_reader.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import json
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import gatherResults, inlineCallbacks
 
 from wisteriagw.clients import VmListUnavailableError
 from wisteriagw.control._demand_sum import parse_vm_demand, sum_demand
+from wisteriagw.jsondata import load_json
 from wisteriagw.outcomes import Done
 
 if TYPE_CHECKING:
@@ -99,7 +99,7 @@
         if not isinstance(outcome, Done) or outcome.status != 200:
             return
         try:
-            fields = json.loads(outcome.body)
+            fields = load_json(outcome.body)
         except ValueError:
             return
         demand = parse_vm_demand(fields, requested_at)
--- a/wisteriagw/control/_engines_client.py
+++ b/wisteriagw/control/_engines_client.py
@@ -7,6 +7,7 @@
 
 from twisted.internet.defer import inlineCallbacks
 
+from wisteriagw.jsondata import load_json
 from wisteriagw.orders import EngineState, encode_order
 from wisteriagw.outcomes import Done
 
@@ -52,7 +53,7 @@
         if not isinstance(outcome, Done) or outcome.status != 200:
             return None
         try:
-            state = EngineState(**json.loads(outcome.body))
+            state = EngineState(**load_json(outcome.body))
         except (TypeError, ValueError):
             return None
         return state._replace(adapters=tuple(state.adapters))
--- a/wisteriagw/entry/_report_reader.py
+++ b/wisteriagw/entry/_report_reader.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import json
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import inlineCallbacks
 
 from wisteriagw.exchange import list_assigned_engines, parse_engine_load
+from wisteriagw.jsondata import load_json
 from wisteriagw.outcomes import Done
 from wisteriagw.settings import AddressKind, parse_value
 
@@ -86,7 +86,7 @@
     if not isinstance(outcome, Done) or outcome.status != 200:
         return {}
     try:
-        fields = json.loads(outcome.body)
+        fields = load_json(outcome.body)
     except ValueError:
         return {}
     return fields if isinstance(fields, dict) else {}
--- a/wisteriagw/gateway/_authority_controller.py
+++ b/wisteriagw/gateway/_authority_controller.py
@@ -10,6 +10,7 @@
 
 from wisteriagw.authority import AuthorityStep, Grant, compute_term_end, decide_step
 from wisteriagw.gateway._background import start_background
+from wisteriagw.jsondata import load_record
 from wisteriagw.platform import (
     AUTHORITY_TOPIC,
     AppendConflictError,
@@ -147,8 +148,8 @@
         if record.key != AUTHORITY_KEY:
             return
         try:
-            grant = Grant(**json.loads(record.value))
-        except (ValueError, TypeError) as error:
+            grant = decode_grant(record.value)
+        except ValueError as error:
             logger.warning(
                 "authority record at offset %d is invalid: %s", record.offset, error
             )
@@ -193,3 +194,8 @@
             return self._grant._replace(renewal=self._grant.renewal + 1)
         number = 0 if self._grant is None else self._grant.fencing_number
         return Grant(self._vm, self._incarnation, number + 1)
+
+
+def decode_grant(data: bytes) -> Grant:
+    """Return the grant in a record; raises ValueError if it holds none."""
+    return load_record(Grant, data)
--- a/wisteriagw/gateway/_members.py
+++ b/wisteriagw/gateway/_members.py
@@ -11,7 +11,8 @@
 
 from wisteriagw.gateway._member import Member
 from wisteriagw.gateway._topic_follower import TopicFollower
-from wisteriagw.platform import MEMBERS_TOPIC, StoreUnavailableError
+from wisteriagw.jsondata import load_record
+from wisteriagw.platform import MEMBERS_TOPIC, StoreUnavailableError, parse_address
 
 if TYPE_CHECKING:
     from wisteriagw.platform import StoreClient, StoreRecord
@@ -155,9 +156,17 @@
                 self.entries.pop(record.key, None)
                 continue
             try:
-                member = Member(**json.loads(record.value))
-            except (ValueError, TypeError) as error:
+                member = load_record(Member, record.value)
+                check_addresses(member)
+            except ValueError as error:
                 logger.warning("entry of VM %s is invalid: %s", record.key, error)
                 continue
             self.entries[member.vm] = member
             logger.info("VM %s in %s is registered", member.vm, member.data_centre)
+
+
+def check_addresses(member: Member) -> None:
+    """Raise ValueError unless callers and other VMs can connect to a VM."""
+    for address in (member.front, f"{member.host}:{member.port}"):
+        if parse_address(address) is None:
+            raise ValueError(f"has the invalid address {address!r}")
--- a/wisteriagw/gateway/_quarantine_store.py
+++ b/wisteriagw/gateway/_quarantine_store.py
@@ -4,11 +4,13 @@
 
 import json
 import logging
+import math
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.task import deferLater
 
 from wisteriagw.gateway._background import start_background
+from wisteriagw.jsondata import load_json
 from wisteriagw.platform import QUARANTINES_TOPIC, StoreUnavailableError
 
 if TYPE_CHECKING:
@@ -90,9 +92,11 @@
         try:
             rows = [
                 (tuple(map(str, parts)), now - first_at, now - began_at, float(seconds))
-                for parts, first_at, began_at, seconds in json.loads(value or b"[]")
+                for parts, first_at, began_at, seconds in load_json(value or b"[]")
             ]
-        except (ValueError, TypeError) as error:
+            if not all(math.isfinite(sum(row[1:])) for row in rows):
+                raise ValueError("a time is not finite")
+        except (ArithmeticError, TypeError, ValueError) as error:
             logger.warning("the quarantines in the store are not valid: %s", error)
             return
         self._crashing_parts.adopt_quarantines(rows, self._reactor.seconds())
--- a/wisteriagw/gateway/_topic_follower.py
+++ b/wisteriagw/gateway/_topic_follower.py
@@ -128,6 +128,13 @@
                 await deferLater(self._reactor, backoff)
                 backoff = min(2 * backoff, MAX_BACKOFF_SECONDS)
                 continue
+            except CancelledError:
+                raise
+            except Exception:
+                # The other records hold; a follower that ended would miss them.
+                logger.exception("a record of %s could not be applied", self.topic)
+                await deferLater(self._reactor, backoff)
+                continue
             backoff = MIN_BACKOFF_SECONDS
             self._record_success()
             if self._at_tip:
--- a/wisteriagw/gateway/_usage_windows.py
+++ b/wisteriagw/gateway/_usage_windows.py
@@ -6,6 +6,8 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
+from wisteriagw.jsondata import load_json
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
@@ -13,6 +15,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Windows that may be sealed late; the records of older ones have expired in the store.
+MAX_UNSEALED_WINDOWS = 1_000
+
 
 class UsageWindows:
     """Fold of the usage topic: counts by window, and windows that are sealed.
@@ -38,8 +43,14 @@
         """Apply records in their order."""
         for record in records:
             try:
-                self._apply(json.loads(record.value))
-            except (ValueError, TypeError, KeyError, AttributeError) as error:
+                self._apply(load_json(record.value))
+            except (
+                ArithmeticError,
+                AttributeError,
+                LookupError,
+                TypeError,
+                ValueError,
+            ) as error:
                 logger.warning(
                     "invalid usage record at offset %d: %s", record.offset, error
                 )
@@ -69,7 +80,8 @@
         """Return the windows up to one that are not sealed, oldest first."""
         if self.first is None:
             return []
-        return [w for w in range(self.first, newest + 1) if w not in self.sealed]
+        first = max(self.first, newest + 1 - MAX_UNSEALED_WINDOWS)
+        return [w for w in range(first, newest + 1) if w not in self.sealed]
 
     def _apply(self, fields: dict[str, Any]) -> None:
         if "sealed" in fields:
--- a/wisteriagw/platform/__init__.py
+++ b/wisteriagw/platform/__init__.py
@@ -38,7 +38,11 @@
     reports_not_run,
 )
 from wisteriagw.platform._server_notices import decode_notices
-from wisteriagw.platform._settings_file import SETTINGS_VARIABLE, parse_settings
+from wisteriagw.platform._settings_file import (
+    SETTINGS_VARIABLE,
+    parse_address,
+    parse_settings,
+)
 from wisteriagw.platform._store_client import CALL_TIMEOUT_SECONDS, StoreClient
 from wisteriagw.platform._store_page import StorePage
 from wisteriagw.platform._store_record import StoreRecord
@@ -93,6 +97,7 @@
     "is_genuine",
     "is_none_available",
     "is_unknown",
+    "parse_address",
     "parse_settings",
     "reports_not_run",
 ]
--- a/wisteriagw/platform/_configuration.py
+++ b/wisteriagw/platform/_configuration.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from wisteriagw.findings import Finding
+from wisteriagw.jsondata import load_json
 from wisteriagw.routes import (
     CallerLimits,
     Customer,
@@ -23,7 +23,7 @@
 def decode_configuration(data: bytes) -> RoutingTable | Finding:
     """Decode the routing table from a record, or return why it is invalid."""
     try:
-        fields = json.loads(data)
+        fields = load_json(data)
         return RoutingTable(
             version=int(fields["version"]),
             routes=index_routes(decode_route(route) for route in fields["routes"]),
@@ -34,7 +34,13 @@
             customers=decode_customers(fields.get("tenants")),
             limits=decode_limits(fields.get("limits") or {}),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (
+        ArithmeticError,
+        AttributeError,
+        LookupError,
+        TypeError,
+        ValueError,
+    ) as error:
         return Finding(PLACE, f"invalid: {type(error).__name__}: {error}")
 
 
--- a/wisteriagw/platform/_engine_client.py
+++ b/wisteriagw/platform/_engine_client.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
+from wisteriagw.jsondata import is_plain, load_json
 from wisteriagw.outcomes import Done
 
 # The list is long, and the engine produces it while serving requests.
@@ -30,7 +30,7 @@
 def decode_parts(body: bytes) -> list[tuple[str, int]]:
     """Return part and token count of each valid row; other rows are skipped."""
     try:
-        rows = json.loads(body)["held"]
+        rows = load_json(body)["held"]
     except (ValueError, KeyError, TypeError):
         return []
     parts = []
@@ -38,6 +38,8 @@
         # A row holds an empty string, the part, its token count and the model.
         if not isinstance(row, list) or len(row) < 3:
             continue
-        if isinstance(row[1], str) and type(row[2]) is int and row[2] > 0:
+        if not is_plain(row[1], (str,)) or not is_plain(row[2], (int,)):
+            continue
+        if row[2] > 0:
             parts.append((row[1], row[2]))
     return parts
--- a/wisteriagw/platform/_responses.py
+++ b/wisteriagw/platform/_responses.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import json
+import re
 from typing import TYPE_CHECKING
 
+from wisteriagw.jsondata import load_json
+
 if TYPE_CHECKING:
     from wisteriagw.connections import ResponseHead
 
@@ -13,6 +16,7 @@
 NOT_EXECUTED = b"x-wisteriagw-not-executed"
 EVENT_STREAM = b"text/event-stream"
 MISDIRECTED = 421
+HANDLE = re.compile(r"[!-~]+")
 HOP_BY_HOP_HEADERS = frozenset(
     (
         b"connection",
@@ -79,10 +83,13 @@
 def decode_handle(body: bytes) -> str | None:
     """Return the handle of a prefilled KV cache, or None if the body has none."""
     try:
-        handle = json.loads(body)["kv_handle"]
+        handle = load_json(body)["kv_handle"]
     except (ValueError, KeyError, TypeError):
         return None
-    return handle if isinstance(handle, str) and handle else None
+    # The handle becomes a part of a header and of a path.
+    if not isinstance(handle, str) or not HANDLE.fullmatch(handle):
+        return None
+    return handle
 
 
 def build_handle_target(handle: str) -> str:
--- a/wisteriagw/platform/_settings_file.py
+++ b/wisteriagw/platform/_settings_file.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import re
 import tomllib
+from ipaddress import IPv4Address
 from typing import Any
 
 from wisteriagw.findings import Finding
@@ -11,6 +13,8 @@
 SETTINGS_VARIABLE = "WISTERIAGW_NODE_FILE"
 MISSING = object()
 SECONDS_PER_MS = 0.001
+PORT = re.compile(r"[0-9]{1,5}")
+MAX_PORT = 65_535
 
 # Path in the file, field of NodeSettings, type, and factor to the field's unit.
 FIELDS: tuple[tuple[str, str, type, float], ...] = (
@@ -95,10 +99,13 @@
 
 
 def parse_address(value: Any) -> tuple[str, int] | None:
-    """Return the host and port of ``IP:PORT``, or None."""
+    """Return the host and port of ``IP:PORT`` (IPv4), or None."""
     if not isinstance(value, str):
         return None
     host, colon, port = value.rpartition(":")
-    if not host or not colon or not port.isdecimal():
+    if not colon or not PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
+        return None
+    try:
+        return str(IPv4Address(host)), int(port)
+    except ValueError:
         return None
-    return host, int(port)
--- a/wisteriagw/platform/_store_client.py
+++ b/wisteriagw/platform/_store_client.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import base64
-import json
 import struct
 from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
 
+from wisteriagw.jsondata import load_json
 from wisteriagw.outcomes import Done, FailedNotRun, RefusedNotRun
 from wisteriagw.platform._append_conflict import AppendConflictError
 from wisteriagw.platform._store_page import StorePage
@@ -174,7 +174,7 @@
     """Return the JSON object in a response with one of the expected statuses."""
     check_status(outcome, statuses)
     try:
-        reply = json.loads(outcome.body)
+        reply = load_json(outcome.body)
     except ValueError as error:
         raise StoreUnavailableError(
             f"the store's response is not JSON: {error}", may_have_run=True
