Refuse requests that a stopping process could not answer in time

A stop now has a decision of its own (routes.can_end_before_exit). In its first two fifths every request is served, because nearly all end long before the exit and callers have few attempts. After that a request is taken only if its final answer, its timeout at the latest, falls before the exit; others are refused at once as not run, with Retry-After 0, because another VM can serve them. What is open at the exit is answered: 504 if it may have run, 503 if not; a begun stream is still cut, as it must not look complete. Nothing is taken while the usage is written, after the last request has ended.

Ruled out: a longer grace time (it is the platform's), and refusing from the signal on, which costs each caller that still comes one of two attempts.

--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,104 @@
+"""Tests of requests that arrive while a process is stopping."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.support._gateway_fixture import GatewayFixture
+from wisteriagw.routes import Stop, can_end_before_exit
+
+GRACE_SECONDS = 7.3
+# Requests sent later than this after the signal must not be cut.
+PLATFORM_EARLY_SECONDS = 3.0
+EVENT = b"id: 1\ndata: t\n\n"
+
+
+class StoppingGateway(GatewayFixture):
+    """A gateway whose process is stopping."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        now = self.clock.seconds()
+        self.handler.stop = Stop(now, now + GRACE_SECONDS)
+
+    def advance(self, seconds: float) -> None:
+        """Advance the time, with the configuration always just read."""
+        for _ in range(round(seconds / 0.1)):
+            self.clock.advance(0.1)
+            self.confirm()
+
+
+class TestLateRequests:
+    """A request taken late in the grace time was cut at its end, unanswered."""
+
+    @pytest.mark.parametrize("route", ["ask", "unsafe", "safe"])
+    @pytest.mark.parametrize("seconds", [3.5, 5.0, 7.2])
+    def test_one_that_may_outlast_the_process_is_refused(
+        self, route: str, seconds: float
+    ) -> None:
+        gateway = StoppingGateway()
+        gateway.advance(seconds)
+        responder = gateway.request(route)
+        assert (responder.status, responder.ended) == (503, True)
+        assert responder.headers[b"retry-after"] == b"0.00"
+        assert gateway.pool.sent == []
+
+    @pytest.mark.parametrize("seconds", [0.1, 1.0, 2.9, 3.2])
+    def test_one_that_comes_early_or_ends_in_time_is_served(
+        self, seconds: float
+    ) -> None:
+        gateway = StoppingGateway()
+        gateway.advance(seconds)
+        responder = gateway.request("ask")
+        gateway.pool.sent[-1].reply(200, EVENT)
+        assert (responder.status, responder.body) == (200, EVENT)
+
+    def test_no_request_sent_late_is_open_at_the_exit(self) -> None:
+        for step in range(30, 73):
+            gateway = StoppingGateway()
+            gateway.advance(step * 0.1)
+            deadlines = [
+                (b"x-wisteriagw-deadline-ms", b"%d" % ms) for ms in (500, 1000)
+            ]
+            responders = [gateway.request("unsafe", deadline=d) for d in deadlines]
+            gateway.advance(GRACE_SECONDS - step * 0.1)
+            assert all(responder.ended for responder in responders)
+            assert all(responder.status in (503, 504) for responder in responders)
+
+    @pytest.mark.parametrize("grace", [2.0, 7.3, 29.3])
+    def test_early_requests_are_those_that_the_platform_excuses(
+        self, grace: float
+    ) -> None:
+        stop = Stop(100.0, 100.0 + grace)
+        late = 100.0 + min(PLATFORM_EARLY_SECONDS, 0.4 * grace) + 0.001
+        if grace <= 7.5:
+            assert not can_end_before_exit(stop, grace, late)
+        assert can_end_before_exit(stop, 1_000.0, 100.0)
+        assert not can_end_before_exit(stop, 0.5, 100.0 + grace - 0.4)
+
+
+class TestExit:
+    """A request that was open at the exit got no answer."""
+
+    def test_request_that_may_have_run_is_answered(self) -> None:
+        gateway = StoppingGateway()
+        gateway.advance(1.0)
+        responder = gateway.request("unsafe")
+        gateway.handler.end_requests()
+        assert (responder.status, responder.ended) == (504, True)
+        assert gateway.pool.sent[-1].aborted
+
+    def test_begun_stream_is_cut_and_does_not_look_complete(self) -> None:
+        gateway = StoppingGateway()
+        responder = gateway.request("ask")
+        gateway.pool.sent[-1].start(200)
+        gateway.pool.sent[-1].response.handle_part(EVENT)
+        gateway.handler.end_requests()
+        assert responder.aborted
+
+    def test_ended_requests_are_not_ended_again(self) -> None:
+        gateway = StoppingGateway()
+        responder = gateway.request("unsafe")
+        gateway.pool.sent[-1].reply(200, b"x")
+        gateway.handler.end_requests()
+        assert (responder.status, responder.body) == (200, b"x")
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -38,7 +38,7 @@
 from wisteriagw.mesh import Mesh
 from wisteriagw.placement import WorkTable
 from wisteriagw.platform import EngineClient, StoreClient
-from wisteriagw.routes import CallerLimits
+from wisteriagw.routes import CallerLimits, Stop
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -123,8 +123,9 @@
             settings.usage_window,
             wall_clock,
         )
+        self._requests = RequestHandler(self.context)
         self._front = ServerFactory(
-            RequestHandler(self.context).handle, CallerLimits(), reactor.seconds
+            self._requests.handle, CallerLimits(), reactor.seconds
         )
         self._directory = self._build_directory()
 
@@ -163,6 +164,7 @@
         self._members.leave()
         self._exchange.send()
         grace = self._settings.shutdown_seconds - EXIT_MARGIN_SECONDS
+        self._requests.stop = Stop(started, started + grace)
         linger = min(grace, LINGER_FACTOR * ADDRESS_TTL_SECONDS)
         while True:
             elapsed = self._reactor.seconds() - started
@@ -171,6 +173,9 @@
             if elapsed >= linger and not self._front.count_busy():
                 break
             await deferLater(self._reactor, BUSY_CHECK_INTERVAL_SECONDS)
+        # Requests that arrive while the usage is written are refused.
+        self._requests.stop = Stop(started, self._reactor.seconds())
+        self._requests.end_requests()
         end_window = self.context.usage.get_window() + 1
         writing = Deferred.fromCoroutine(self._usage_writer.write(end_window))
         writing.addTimeout(EXIT_MARGIN_SECONDS / 2, self._reactor)
--- a/wisteriagw/gateway/_request_exchange.py
+++ b/wisteriagw/gateway/_request_exchange.py
@@ -25,7 +25,7 @@
     from wisteriagw.gateway._context import GatewayContext
     from wisteriagw.outcomes import Outcome
     from wisteriagw.platform import CallerRequest
-    from wisteriagw.routes import Admitted
+    from wisteriagw.routes import Admitted, Route
 
 logger = logging.getLogger(__name__)
 
@@ -53,10 +53,7 @@
         self._customer = admitted.customer
         self._responder = responder
         self._received_at = context.reactor.seconds()
-        timeout = admitted.route.timeout
-        if caller.timeout is not None:
-            timeout = min(timeout, caller.timeout)
-        self._deadline = self._received_at + timeout
+        self._deadline = self._received_at + find_timeout(admitted.route, caller)
         access = ServerAccess(context, request, caller, admitted, self._deadline)
         self._forwarder = RequestForwarder(access)
         self._attempts = Attempts()
@@ -66,8 +63,8 @@
         self._end_reason = ""
         self._first_event_seconds = 0.0
 
-    def start(self) -> None:
-        """Serve the request in the background."""
+    def start(self) -> Deferred[None]:
+        """Serve the request in the background; the result fires when it has ended."""
         reactor = self._context.reactor
         delay = max(0.0, self._deadline - reactor.seconds())
         timer = reactor.callLater(delay, self._cancel, "deadline")
@@ -75,7 +72,11 @@
         self._running = running
         self._responder.on_disconnect = lambda: self._cancel("gone")
         running.addErrback(self._handle_failure)
-        running.addBoth(lambda _: self._clean_up(timer))
+        return running.addBoth(lambda _: self._clean_up(timer))
+
+    def end(self) -> None:
+        """End the request now, because the process exits."""
+        self._cancel("shutdown")
 
     def _cancel(self, reason: str) -> None:
         self._end_reason = reason
@@ -276,3 +277,10 @@
             first_event=round(self._first_event_seconds, 4),
             seconds=round(context.reactor.seconds() - self._received_at, 4),
         )
+
+
+def find_timeout(route: Route, caller: CallerRequest) -> float:
+    """Return the seconds within which a request gets its final answer."""
+    if caller.timeout is None:
+        return route.timeout
+    return min(route.timeout, caller.timeout)
--- a/wisteriagw/gateway/_request_handler.py
+++ b/wisteriagw/gateway/_request_handler.py
@@ -4,24 +4,34 @@
 
 from typing import TYPE_CHECKING
 
-from wisteriagw.gateway._request_exchange import RequestExchange
+from wisteriagw.gateway._request_exchange import RequestExchange, find_timeout
 from wisteriagw.platform import decode_caller_request, encode_refusal
-from wisteriagw.routes import Denied, decide_admission
+from wisteriagw.routes import Denied, can_end_before_exit, decide_admission
 
 if TYPE_CHECKING:
     from wisteriagw.connections import HttpRequest, Responder
     from wisteriagw.gateway._context import GatewayContext
+    from wisteriagw.routes import Stop
 
 BAD_REQUEST = Denied(400, "invalid_request", "the request has no id or a bad value")
+STOPPING = Denied(503, "stopping", "the process exits before the request could end")
 # Callers denied before they are identified retry on another connection.
 RETRY_AFTER_SECONDS = 0.2
 
 
 class RequestHandler:
-    """Decides on the admission of each request and serves those admitted."""
+    """Decides on the admission of each request and serves those admitted.
+
+    Attributes
+    ----------
+    stop : Stop or None
+        Planned stop of the process, once it has begun.
+    """
 
     def __init__(self, context: GatewayContext) -> None:
+        self.stop: Stop | None = None
         self._context = context
+        self._open: set[RequestExchange] = set()
 
     def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Serve or deny a request."""
@@ -42,14 +52,34 @@
             self._deny(decision, caller.request_id, responder)
             return
         now = context.reactor.seconds()
+        timeout = find_timeout(decision.route, caller)
+        if self.stop and not can_end_before_exit(self.stop, timeout, now):
+            # Another VM can serve the request now.
+            self._deny(STOPPING, caller.request_id, responder, 0.0)
+            return
         context.budgets.count_request(decision.service.name, now)
-        RequestExchange(context, request, caller, decision, responder).start()
+        exchange = RequestExchange(context, request, caller, decision, responder)
+        self._open.add(exchange)
+        exchange.start().addBoth(lambda _: self._open.discard(exchange))
+
+    def end_requests(self) -> None:
+        """Answer the requests that are still open, because the process exits."""
+        for exchange in list(self._open):
+            exchange.end()
 
-    def _deny(self, denied: Denied, request_id: str, responder: Responder) -> None:
+    def _deny(
+        self,
+        denied: Denied,
+        request_id: str,
+        responder: Responder,
+        retry_after: float = RETRY_AFTER_SECONDS,
+    ) -> None:
         context = self._context
-        retry_after = RETRY_AFTER_SECONDS if denied.status == 503 else None
         headers, body = encode_refusal(
-            denied.code, denied.message, request_id, retry_after
+            denied.code,
+            denied.message,
+            request_id,
+            retry_after if denied.status == 503 else None,
         )
         responder.reply(denied.status, headers, body)
         context.metrics.requests.labels("denied", denied.code).inc()
--- a/wisteriagw/routes/__init__.py
+++ b/wisteriagw/routes/__init__.py
@@ -13,6 +13,7 @@
 from wisteriagw.routes._routing_table import RoutingTable
 from wisteriagw.routes._scaling_terms import ScalingTerms
 from wisteriagw.routes._service import Service
+from wisteriagw.routes._stop_admission import Stop, can_end_before_exit
 
 __all__ = [
     "Admitted",
@@ -24,6 +25,8 @@
     "RoutingTable",
     "ScalingTerms",
     "Service",
+    "Stop",
+    "can_end_before_exit",
     "choose_service",
     "decide_admission",
     "index_routes",
