--- a/tests/test_gateway_feeds.py
+++ b/tests/test_gateway_feeds.py
@@ -295,7 +295,7 @@
         """Let another VM read the register, and pass on the notices that result."""
         now = self.clock.seconds()
         records = self.store.topics.list_records(REGISTER_TOPIC, 0)
-        other.apply_relayed_changes(records)
+        other.apply_records(records)
         feed.notices.apply_reports(other.notices.reports.pop(now), now)
 
     @pytest.mark.parametrize("silent_seconds", [0.4, 1.0, 2.5, 6.0, 9.5])
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -57,7 +57,7 @@
         fleet = self.build()
         for vm, gateway in fleet.gateways.items():
             gateway.fleet.follower.available = vm == reader
-        fleet.gateways[reader].fleet.apply_relayed_changes([record])
+        fleet.gateways[reader].fleet.apply_records([record])
         fleet.advance(SPREAD_SECONDS)
         assert self.find_accepting(fleet) == []
 
@@ -65,7 +65,7 @@
         """Entries that expired in an outage come back under the same start."""
         fleet = self.build()
         reader = fleet.gateways["south-1"].fleet
-        reader.apply_relayed_changes([StoreRecord(2, "i-1", b"")])
+        reader.apply_records([StoreRecord(2, "i-1", b"")])
         fleet.advance(SPREAD_SECONDS)
         for gateway in fleet.gateways.values():
             gateway.fleet.apply_relayed_changes([build_record(3)])
@@ -77,16 +77,25 @@
         fleet.down.add("north-4")
         fleet.advance(1.0)
         removal = StoreRecord(2, "i-1", b"")
-        fleet.gateways["west-1"].fleet.apply_relayed_changes([removal])
+        fleet.gateways["west-1"].fleet.apply_records([removal])
         fleet.advance(2.0)
         fleet.down.clear()
         fleet.advance(CONTACT_SECONDS)
         assert self.find_accepting(fleet) == []
 
+    def test_snapshot_that_is_out_of_date_tells_the_others_nothing(self) -> None:
+        """A VM that read it would withdraw a new server from all others."""
+        fleet = self.build()
+        reader = fleet.gateways["south-1"]
+        reader.fleet.follower.start()
+        fleet.advance(2.0)
+        assert "south-1" not in self.find_accepting(fleet)
+        assert len(self.find_accepting(fleet)) == 6
+
     def test_notices_in_force_cost_no_repeated_messages_between_all(self) -> None:
         fleet = self.build()
         removal = StoreRecord(2, "i-1", b"")
-        fleet.gateways["west-1"].fleet.apply_relayed_changes([removal])
+        fleet.gateways["west-1"].fleet.apply_records([removal])
         fleet.advance(2.0)
         before = self.count_notices(fleet)
         fleet.advance(10.0)
--- a/wisteriagw/gateway/_fleet_feed.py
+++ b/wisteriagw/gateway/_fleet_feed.py
@@ -82,6 +82,8 @@
         self._registered: dict[str, BackendServer] = {}
         self._on_lost = on_lost
         self._missing: set[str] = set()
+        # Offset of the removal of a server that is not known to be back.
+        self._removals: dict[str, int] = {}
         self._offsets: OrderedDict[str, int] = OrderedDict()
         self._changes: list[StoreRecord] = []
         self._digest: int | None = None
@@ -91,7 +93,7 @@
             REGISTER_TOPIC,
             wait,
             self._apply_snapshot,
-            self._apply_records,
+            self.apply_records,
             MIN_READ_INTERVAL_SECONDS,
         )
 
@@ -113,7 +115,7 @@
             if record.offset < self._offsets.get(record.key, -1):
                 continue
             if record.value:
-                self._apply_records((record,))
+                self.apply_records((record,))
                 continue
             known = self.fleet.servers.get(record.key)
             if known is not None:
@@ -125,15 +127,17 @@
         for name in list(self.fleet.servers):
             if name not in present:
                 self._remove(name)
-        self._apply_records(records)
+        self.apply_records(records)
 
-    def _apply_records(self, records: tuple[StoreRecord, ...]) -> None:
+    def apply_records(self, records: Iterable[StoreRecord]) -> None:
+        """Apply records of the register in their order."""
         for record in records:
             if record.offset < self._offsets.get(record.key, -1):
                 # A relay has already sent a newer record.
                 continue
             self._record_offset(record.key, record.offset)
             if not record.value:
+                self._removals[record.key] = record.offset
                 self._remove(record.key)
                 continue
             entry = decode_entry(record.key, record.value)
@@ -150,6 +154,7 @@
 
     def _put(self, entry: BackendServer, record: StoreRecord) -> None:
         self._missing.discard(entry.name)
+        self._removals.pop(entry.name, None)
         known = self._registered.get(entry.name)
         if known is not None and known.born > entry.born:
             # Outdated report of an earlier process with the same name.
@@ -191,6 +196,7 @@
     def _remove(self, name: str) -> None:
         known = self.fleet.servers.get(name)
         if known is None:
+            self._removals.pop(name, None)
             return
         left = (
             self.follower.recovered_at
@@ -221,7 +227,10 @@
         self._registered.pop(known.name, None)
         self._digest = None
         offset = self._offsets.get(known.name, 0)
-        self._report_departure(known, offset)
+        # A snapshot that lacks a server proves nothing: it may be out of date.
+        removed_at = self._removals.pop(known.name, None)
+        if removed_at is not None:
+            self._report_departure(known, removed_at)
         self._changes.append(StoreRecord(offset, known.name, b""))
         logger.info("backend server %s of %s is gone", known.name, known.service)
         self._on_lost(known)
