Count the notices in force, and test those of a backup engine

wisteriagw_server_notices shows how many servers are leaving, pause or name a limit by their own notice, so that refusals with backpressure can be told from overload. A run that goes on at a copy counts against the limit of its engine, and does not go on at one that pauses or leaves: TestNoticesOfTheBackup, whose cases fail with the guards taken out.

--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -8,7 +8,7 @@
 
 from tests.support._gateway_fixture import GatewayFixture
 from tests.support._simulated_fleet import SimulatedFleet
-from wisteriagw.notices import Departure, NoticeTable, Pause
+from wisteriagw.notices import Departure, NoticeTable, Pause, RateLimit
 from wisteriagw.platform import StoreRecord
 
 EVENT = b"id: 1\ndata: t\n\n"
@@ -301,6 +301,18 @@
         fleet.advance(8.0)
         assert self.list_paused(fleet) == []
 
+    def test_notices_in_force_are_counted(self) -> None:
+        gateway = GatewayFixture()
+        gateway.notices.record(Pause("desk-1", 0, 3.0))
+        gateway.notices.record(Departure("desk-2", 0, float("inf")))
+        gateway.notices.record(RateLimit("lm-1", 0, 2.0))
+        gateway.clock.advance(1.0)
+        assert set(gateway.notices.count_in_force().values()) == {1}
+        gateway.notices.record(RateLimit("lm-1", 0, float("inf")))
+        gateway.clock.advance(3.0)
+        counts = gateway.notices.count_in_force()
+        assert counts == {"Departure": 1, "Pause": 0, "RateLimit": 0}
+
     def list_paused(self, fleet: SimulatedFleet) -> list[str]:
         return [
             vm
--- a/tests/test_stream_backups.py
+++ b/tests/test_stream_backups.py
@@ -7,6 +7,7 @@
 import pytest
 
 from tests.support._gateway_fixture import ROUTES, GatewayFixture
+from wisteriagw.notices import Departure, Pause, RateLimit
 from wisteriagw.placement import ServerView, choose_backup
 from wisteriagw.platform import decode_configuration
 from wisteriagw.routes import EngineTraits, index_routes
@@ -85,6 +86,37 @@
         assert gateway.count_usage() == 28
 
 
+class TestNoticesOfTheBackup:
+    """A run went on at an engine that had asked for fewer requests, or none."""
+
+    def start(self) -> tuple[GatewayFixture, str]:
+        gateway = build_gateway()
+        gateway.request("ask", prompt="300,50")
+        names = {"10.0.0.11": "lm-1", "10.0.0.12": "lm-2"}
+        backup = ({"lm-1", "lm-2"} - {names[gateway.pool.sent[0].address[0]]}).pop()
+        return gateway, backup
+
+    def test_continued_run_counts_against_its_limit(self) -> None:
+        gateway, backup = self.start()
+        gateway.notices.record(RateLimit(backup, 0, 2.0))
+        gateway.clock.advance(0.6)
+        server = gateway.fleet.fleet.servers[backup]
+        assert gateway.notices.find_wait(server, gateway.clock.seconds()) == 0
+        _, second = lose_stream(gateway)
+        assert second.address == server.address
+        assert gateway.notices.find_wait(server, gateway.clock.seconds()) > 0
+
+    @pytest.mark.parametrize("kind", [Pause, Departure])
+    def test_no_run_goes_on_at_an_engine_that_wants_none(self, kind: type) -> None:
+        gateway, backup = self.start()
+        gateway.notices.record(kind(backup, 0, 9.0))
+        first = gateway.pool.sent[0]
+        first.start(200)
+        first.response.handle_part(EVENT % 1)
+        first.response.handle_loss("reset")
+        assert len(gateway.pool.sent) == 1
+
+
 class TestSilentEngine:
     """A run must not start again elsewhere while its engine may be working on it."""
 
--- a/wisteriagw/gateway/_metrics.py
+++ b/wisteriagw/gateway/_metrics.py
@@ -49,6 +49,12 @@
             "Time since the register of backend servers was last confirmed",
             registry=self._registry,
         )
+        self.server_notices = Gauge(
+            "wisteriagw_server_notices",
+            "Backend servers that are leaving, pause or name a limit by their own notice",
+            ("kind",),
+            registry=self._registry,
+        )
         self.vms = Gauge(
             "wisteriagw_vms",
             "VMs that are alive, including this one",
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -270,6 +270,8 @@
         self._directory.close_idle()
         context.crashing_parts.expire()
         context.notices.expire(context.fleet.fleet.servers)
+        for kind, count in context.notices.count_in_force().items():
+            context.metrics.server_notices.labels(kind).set(count)
         vms = len(self._members.list_alive(self._reactor.seconds()))
         context.budgets.set_vm_count(max(vms, len(self._members.entries)))
         context.metrics.vms.set(vms)
--- a/wisteriagw/gateway/notices/_notice_board.py
+++ b/wisteriagw/gateway/notices/_notice_board.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import logging
+import math
 from typing import TYPE_CHECKING
 
 from wisteriagw.gateway.notices._notice_queue import NoticeQueue
 from wisteriagw.gateway.notices._request_limiter import RequestLimiter
-from wisteriagw.gateway.notices._rows import decode_rows, encode_rows
-from wisteriagw.notices import NoticeTable, list_notices
+from wisteriagw.gateway.notices._rows import KINDS, decode_rows, encode_rows
+from wisteriagw.notices import NoticeTable, RateLimit, list_notices
 from wisteriagw.placement import WorkTable
 
 if TYPE_CHECKING:
@@ -94,6 +95,14 @@
         """Return all notices in force, for VMs that missed them."""
         return encode_rows(list_notices(self.table, now), now)
 
+    def count_in_force(self) -> dict[str, int]:
+        """Return the notices in force by kind; ended limits do not count."""
+        counts = {kind.__name__: 0 for kind in KINDS.values()}
+        for notice, _ in list_notices(self.table, self._clock()):
+            if not isinstance(notice, RateLimit) or math.isfinite(notice.rate):
+                counts[type(notice).__name__] += 1
+        return counts
+
     def expire(self, registered: Collection[str]) -> None:
         """Forget servers that are gone; must be called periodically."""
         self.table.expire(registered, self._clock())
