--- a/wisteriagw/gateway/_metrics.py
+++ b/wisteriagw/gateway/_metrics.py
@@ -51,7 +51,7 @@
         )
         self.server_notices = Gauge(
             "wisteriagw_server_notices",
-            "Backend servers that are leaving, pause or name a limit by their own notice",
+            "Backend servers that leave, pause or limit requests by their own notice",
             ("kind",),
             registry=self._registry,
         )
