Let the stand-in's servers give notices in the soak

Leaving servers say so in their answers and start again as another process when they are back, servers that refuse ask for a pause of 0.4 s, and desk-2 names a limit while the others leave. The soak still does not check the bound on leaving servers: faults overlap and excuse most VMs.

--- a/tests/soak/_fault_injector.py
+++ b/tests/soak/_fault_injector.py
@@ -108,9 +108,9 @@
         elif kind == "refusals":
             await self.set_faults(refuse={"desk-2": 2, "reader-1": 2, "engine-2": 1})
         elif kind == "leaving":
-            await self.set_faults(gone=["desk-1", "engine-2"])
+            await self.set_faults(gone=["desk-1", "engine-2"], limit={"desk-2": 8.0})
             await deferLater(self._reactor, seconds + 1.0)
-            await self.set_faults(gone=[])
+            await self.set_faults(gone=[], limit={"desk-2": None})
         else:
             customers = CUSTOMERS
             if "t-3" in self.withdrawn or random.random() < 0.5:
--- a/wisteriagw/standins/_backend_server_stand_in.py
+++ b/wisteriagw/standins/_backend_server_stand_in.py
@@ -11,6 +11,8 @@
 EVENT_INTERVAL_SECONDS = 0.02
 CALL_SECONDS = 0.02
 EVENTS_PER_STREAM = 8
+# A server that refuses a request wants none for this long.
+PAUSE = (b"retry-after", b"0.4")
 
 
 class BackendServerStandIn:
@@ -22,11 +24,17 @@
         Number of next requests that run and whose connection is then aborted.
     refusals : int
         Number of next requests that are refused without being run.
+    leaving : bool
+        Whether all answers say that the server leaves.
+    limit : float or None
+        Requests per second that all answers name, if any.
     """
 
     def __init__(self, reactor: Any, name: str, runs: list[list[Any]]) -> None:
         self.lost_replies = 0
         self.refusals = 0
+        self.leaving = False
+        self.limit: float | None = None
         self._reactor = reactor
         self._name = name
         self._runs = runs
@@ -44,12 +52,14 @@
             return
         request_id = (find(b"x-wisteriagw-request-id") or b"").decode()
         headers = [(b"x-wisteriagw-request-id", request_id.encode())]
+        headers += self._list_notices()
         if find(b"x-wisteriagw-expect-instance") != self._name.encode():
             responder.reply(421, headers)
             return
         if self.refusals:
             self.refusals -= 1
-            responder.reply(503, [*headers, (b"x-wisteriagw-not-executed", b"1")])
+            headers += [(b"x-wisteriagw-not-executed", b"1"), PAUSE]
+            responder.reply(503, headers)
             return
         if find(b"x-wisteriagw-stage") == b"prefill":
             self._handles += 1
@@ -69,6 +79,14 @@
         first = int(resumed) + 1 if resumed else 1
         self._send_event(first, request_id, responder)
 
+    def _list_notices(self) -> list[tuple[bytes, bytes]]:
+        notices = []
+        if self.leaving:
+            notices.append((b"server-leaving", b"1"))
+        if self.limit is not None:
+            notices.append((b"server-limit", f"{self.limit}".encode("ascii")))
+        return notices
+
     def _finish_call(
         self, request_id: str, headers: list, responder: Responder
     ) -> None:
--- a/wisteriagw/standins/_platform_stand_in.py
+++ b/wisteriagw/standins/_platform_stand_in.py
@@ -44,6 +44,7 @@
         self._reactor = reactor
         self._address = address
         self._draining: set[str] = set()
+        self._starts: dict[str, int] = {}
 
     def start(self) -> None:
         """Listen on the address, and on the ports after it for the backend servers."""
@@ -80,12 +81,22 @@
     def _set_faults(self, faults: dict[str, Any]) -> None:
         self.store.down = bool(faults.get("down", self.store.down))
         self.store.topics.lost_replies += int(faults.get("lose", 0))
-        self._draining = set(faults.get("gone", self._draining))
+        self._set_draining(set(faults.get("gone", self._draining)))
+        for name, limit in faults.get("limit", {}).items():
+            self.backend_servers[name].limit = limit
         for name, count in faults.get("lose_answers", {}).items():
             self.backend_servers[name].lost_replies += count
         for name, count in faults.get("refuse", {}).items():
             self.backend_servers[name].refusals += count
 
+    def _set_draining(self, names: set[str]) -> None:
+        for name in self._draining - names:
+            # A server that left starts again as another process.
+            self._starts[name] = self._starts.get(name, 1) + 1
+        self._draining = names
+        for name, server in self.backend_servers.items():
+            server.leaving = name in names
+
     def _register_servers(self) -> None:
         host, port = self._address
         for number, (name, service, stage) in enumerate(SERVERS, 1):
@@ -95,7 +106,7 @@
                 "zone": "north",
                 "slots": 16,
                 "state": "draining" if name in self._draining else "ready",
-                "born": 1,
+                "born": self._starts.get(name, 1),
             }
             if stage:
                 fields["stage"] = stage
