Split what grew: notices of one request, and the VM's own entry

RequestNotices takes from ServerAccess what concerns notices; build_member and format_address stand beside Member. The errors that decoders raise for fields as they come have one name.

--- a/wisteriagw/gateway/_member.py
+++ b/wisteriagw/gateway/_member.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from wisteriagw.platform import NodeSettings
 
 
 class Member(NamedTuple):
@@ -29,3 +32,22 @@
     port: int
     incarnation: str
     capacity: float = 0.0
+
+
+def build_member(settings: NodeSettings, incarnation: str) -> Member:
+    """Return the membership entry of this VM."""
+    host, port = settings.peers
+    return Member(
+        settings.vm,
+        settings.data_centre,
+        format_address(settings.front),
+        host,
+        port,
+        incarnation,
+        settings.core_part * settings.core_speed,
+    )
+
+
+def format_address(address: tuple[str, int]) -> str:
+    """Return ``IP:PORT``."""
+    return f"{address[0]}:{address[1]}"
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -23,7 +23,7 @@
 from wisteriagw.gateway._engine_rate_table import EngineRateTable
 from wisteriagw.gateway._fleet_feed import FleetFeed, find_read_wait
 from wisteriagw.gateway._lost_usage_writer import LostUsageWriter
-from wisteriagw.gateway._member import Member
+from wisteriagw.gateway._member import build_member, format_address
 from wisteriagw.gateway._members import Members
 from wisteriagw.gateway._metrics import GatewayMetrics
 from wisteriagw.gateway._pending_updates import PendingUpdates
@@ -280,22 +280,3 @@
         context.metrics.configuration_age.set(age)
         age = self._reactor.seconds() - context.fleet.follower.read_at
         context.metrics.register_age.set(min(age, MAX_AGE_SECONDS))
-
-
-def build_member(settings: NodeSettings, incarnation: str) -> Member:
-    """Return the membership entry of this VM."""
-    host, port = settings.peers
-    return Member(
-        settings.vm,
-        settings.data_centre,
-        format_address(settings.front),
-        host,
-        port,
-        incarnation,
-        settings.core_part * settings.core_speed,
-    )
-
-
-def format_address(address: tuple[str, int]) -> str:
-    """Return ``IP:PORT``."""
-    return f"{address[0]}:{address[1]}"
--- a/wisteriagw/gateway/_prompt_prefill.py
+++ b/wisteriagw/gateway/_prompt_prefill.py
@@ -42,7 +42,7 @@
             context.work, server.name, plan.uncached_tokens
         )
         access.record_parts(server.name)
-        access.count_request(server.name)
+        access.notices.count(server.name)
         started = context.reactor.seconds()
         terms = access.build_terms(server)._replace(
             prefill_only=True, fetch_from=access.find_address(plan.fetch_from)
@@ -90,7 +90,7 @@
             access.route.target_seconds, plan.seconds
         )
         head = await access.wait_for_head(self._response, plan.prefill, timeout)
-        access.record_notices(server, head)
+        access.notices.record(server, head)
         return head, await self._response.read_body()
 
     def _abort_answer(self) -> None:
--- a/wisteriagw/gateway/_request_forwarder.py
+++ b/wisteriagw/gateway/_request_forwarder.py
@@ -82,20 +82,20 @@
         if not excluded and access.is_queue_too_long(plan):
             return QUEUE_TOO_LONG
         # Counted before the prefill, during which other requests are placed.
-        access.count_request(plan.server)
+        access.notices.count(plan.server)
         source = await self._prefill.run(plan) if plan.prefill else None
         # The parts may have crashed engines during the prefill.
         refusal = access.find_quarantine() if plan.prefill else None
         if refusal is not None:
             return refusal
         server = access.context.fleet.fleet.servers.get(plan.server)
-        if not access.accepts_work(server):
+        if not access.notices.permit(server):
             # The server was removed or gave notice during the prefill.
             excluded = (*excluded, plan.server)
             plan = access.place(excluded)
             if plan is None:
                 return access.explain_no_server(excluded) or NO_SERVER
-            access.count_request(plan.server)
+            access.notices.count(plan.server)
             server = access.context.fleet.fleet.servers[plan.server]
         self._backup = access.choose_backup(server.name)
         terms = access.build_terms(server)._replace(
@@ -127,7 +127,7 @@
         known = self._access.context.fleet.fleet.servers.get(backup.name)
         if known is None or known.born != backup.born:
             return False
-        return self._access.accepts_work(known)
+        return self._access.notices.permit(known)
 
     async def continue_run(self, last_event: int | None) -> Outcome:
         """Continue the lost run at the engine that keeps its copy.
@@ -141,7 +141,7 @@
         if refusal is not None:
             self.server = ""
             return refusal
-        access.count_request(backup.name)
+        access.notices.count(backup.name)
         terms = access.build_terms(backup)._replace(
             source=(backup.address, access.caller.request_id),
             last_event=self._find_resume_point(last_event),
@@ -251,7 +251,7 @@
             if not access.route.streaming:
                 self._count_usage()
             return MayHaveRun(str(error))
-        access.record_notices(server, head)
+        access.notices.record(server, head)
         return self._classify_answer(head, terms)
 
     def _classify_answer(self, head: ResponseHead, terms: ForwardingTerms) -> Outcome:
--- a/wisteriagw/gateway/_server_access.py
+++ b/wisteriagw/gateway/_server_access.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import Deferred, TimeoutError
 
 from wisteriagw.gateway._lost_run import LostRun
+from wisteriagw.gateway.notices import RequestNotices
 from wisteriagw.outcomes import RefusedNotRun
 from wisteriagw.placement import (
     QueueTerms,
@@ -17,12 +18,10 @@
     find_patience,
     is_queue_too_long,
     is_returning,
-    spread_return,
 )
 from wisteriagw.platform import (
     ForwardingTerms,
     belongs_to,
-    decode_notices,
     encode_forwarded,
     is_genuine,
     reports_not_run,
@@ -58,6 +57,8 @@
         Result of the admission.
     deadline : float
         Time at which the caller stops waiting.
+    notices : RequestNotices
+        Notices of the servers that the request is sent to.
     """
 
     def __init__(
@@ -76,6 +77,7 @@
         self.deadline = deadline
         self._request = request
         self._request_id = caller.request_id.encode("ascii")
+        self.notices = RequestNotices(context, self._request_id)
         self._received_at = context.reactor.seconds()
 
     def place(self, excluded: tuple[str, ...]) -> Plan | None:
@@ -157,37 +159,11 @@
         message = f"engines ended under the prompt parts {', '.join(parts)}"
         return RefusedNotRun("crashing_prompt", message, left)
 
-    def count_request(self, server: str) -> None:
-        """Count a request that is sent to a server against its limit."""
-        context = self.context
-        known = context.fleet.fleet.servers.get(server)
-        if known is not None:
-            context.notices.limiter.take(known, context.reactor.seconds())
-
-    def accepts_work(self, server: BackendServer | None) -> bool:
-        """Return whether a server that was chosen before may still get the request."""
-        if server is None or server.leaving:
-            return False
-        return not self.context.notices.table.find_pause(
-            server, self.context.reactor.seconds()
-        )
-
     def explain_no_server(self, excluded: tuple[str, ...]) -> RefusedNotRun | None:
         """Return the refusal if servers will take the request later, or None."""
-        context = self.context
-        now = context.reactor.seconds()
-        waits = []
-        for server in context.fleet.fleet.list_service(self.service.name):
-            wait = context.notices.find_wait(server, now)
-            if wait and server.name not in excluded:
-                waits.append(wait)
-        if not waits:
-            return None
-        # All callers that are refused until then must not return together.
-        left = max(0.0, self.deadline - now)
-        retry_after = max(min(waits), spread_return(left, context.draw()))
-        message = f"the backend servers want no requests for {min(waits):.2f} s"
-        return RefusedNotRun("backpressure", message, retry_after)
+        servers = self.context.fleet.fleet.list_service(self.service.name)
+        others = [server for server in servers if server.name not in excluded]
+        return self.notices.refuse(others, self.deadline)
 
     def choose_backup(self, running: str) -> BackendServer | None:
         """Return the engine that keeps a copy of the run, or None if none does.
@@ -262,11 +238,6 @@
         """Return whether an answer was made by a backend server for the request."""
         return is_genuine(head, self._request_id)
 
-    def record_notices(self, server: BackendServer, head: ResponseHead) -> None:
-        """Record what a server says of itself in a response."""
-        for notice in decode_notices(head, self._request_id, server):
-            self.context.notices.record(notice)
-
     def find_address(self, server: str) -> tuple[str, int] | None:
         """Return the address of a server, None if it is gone."""
         backend_server = self.context.fleet.fleet.servers.get(server)
--- a/wisteriagw/gateway/_usage_windows.py
+++ b/wisteriagw/gateway/_usage_windows.py
@@ -6,7 +6,7 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
-from wisteriagw.jsondata import load_json
+from wisteriagw.jsondata import DECODE_ERRORS, load_json
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -44,13 +44,7 @@
         for record in records:
             try:
                 self._apply(load_json(record.value))
-            except (
-                ArithmeticError,
-                AttributeError,
-                LookupError,
-                TypeError,
-                ValueError,
-            ) as error:
+            except DECODE_ERRORS as error:
                 logger.warning(
                     "invalid usage record at offset %d: %s", record.offset, error
                 )
--- a/wisteriagw/jsondata/__init__.py
+++ b/wisteriagw/jsondata/__init__.py
@@ -2,6 +2,12 @@
 
 from __future__ import annotations
 
-from wisteriagw.jsondata._loading import MAX_INTEGER, is_plain, load_json, load_record
+from wisteriagw.jsondata._loading import (
+    DECODE_ERRORS,
+    MAX_INTEGER,
+    is_plain,
+    load_json,
+    load_record,
+)
 
-__all__ = ["MAX_INTEGER", "is_plain", "load_json", "load_record"]
+__all__ = ["DECODE_ERRORS", "MAX_INTEGER", "is_plain", "load_json", "load_record"]
--- a/wisteriagw/jsondata/_loading.py
+++ b/wisteriagw/jsondata/_loading.py
@@ -9,6 +9,8 @@
 # Integers beyond this are not exact in all JSON parsers, and overflow where they are
 # divided or converted.
 MAX_INTEGER = 2**53
+# What a decoder raises that takes fields as they come, without checks of its own.
+DECODE_ERRORS = (ArithmeticError, AttributeError, LookupError, TypeError, ValueError)
 FIELD_TYPES: dict[type, tuple[type, ...]] = {
     str: (str,),
     int: (int,),
--- a/wisteriagw/platform/_configuration.py
+++ b/wisteriagw/platform/_configuration.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from wisteriagw.findings import Finding
-from wisteriagw.jsondata import load_json
+from wisteriagw.jsondata import DECODE_ERRORS, load_json
 from wisteriagw.routes import (
     CallerLimits,
     Customer,
@@ -34,13 +34,7 @@
             customers=decode_customers(fields.get("tenants")),
             limits=decode_limits(fields.get("limits") or {}),
         )
-    except (
-        ArithmeticError,
-        AttributeError,
-        LookupError,
-        TypeError,
-        ValueError,
-    ) as error:
+    except DECODE_ERRORS as error:
         return Finding(PLACE, f"invalid: {type(error).__name__}: {error}")
 
 
