Read a topic anew when the store has been restored from a copy

Cause: an offset was taken for a place in the log for ever. The store that comes back from a copy gives offsets out again; a VM whose offset is in the log again when it reads next gets no 410 and goes on behind records that it has not seen.

Change: a position in the store is an era and an offset (StorePosition). The client compares the era of each response with that of the position that a read or a conditional append names, and reports a difference as missing records or as a conflict, which readers handle already; the log lines name era, offset and version. VMs tell each other the era and the version that they have in force: until the operator has written again what was lost, a read that shows an older version than is remembered confirms nothing, and a process that remembers none waits. A missing or odd era counts as none.

--- a/tests/support/_gateway_fixture.py
+++ b/tests/support/_gateway_fixture.py
@@ -235,6 +235,7 @@
             ),
             self.notices,
             lambda: 0.5,
+            self.store.eras,
         )
         self.handler = RequestHandler(self.context)
 
--- a/tests/support/_simulated_fleet.py
+++ b/tests/support/_simulated_fleet.py
@@ -106,6 +106,7 @@
             pending_updates=PendingUpdates(self.usage),
             crashing_parts=self.crashing_parts,
             notices=self.notices,
+            eras=self.store.eras,
         )
         self.exchange = UpdateExchange(
             self.context,
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -77,6 +77,7 @@
     """The store stand-in with a short delay for each call."""
 
     def __init__(self, store: TopicStore, clock: SkewedClock) -> None:
+        self.eras = store.eras
         self._store = store
         self._clock = clock
 
--- a/tests/test_gateway_feeds.py
+++ b/tests/test_gateway_feeds.py
@@ -44,6 +44,7 @@
 
     def __init__(self, clock: Clock) -> None:
         self.topics = TopicStore()
+        self.eras = self.topics.eras
         # Seconds that a read takes besides its wait; None for reads that do not wait.
         self.latency: float | None = None
         self._clock = clock
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,6 +10,7 @@
 from twisted.internet.defer import Deferred
 
 from wisteriagw.connections import HttpRequest, ResponseHead
+from wisteriagw.eras import StorePosition
 from wisteriagw.findings import Finding
 from wisteriagw.fleet import BackendServer
 from wisteriagw.outcomes import Done, FailedNotRun, MayHaveRun
@@ -400,6 +401,11 @@
         assert json.loads(body)["error"]["code"] == "overloaded"
 
 
+def at(offset: int, era: int = 0) -> StorePosition:
+    """Return a position in the store."""
+    return StorePosition(era, offset)
+
+
 class TestStoreClient:
     """Guards against confusing appends that ran, did not run or may have run."""
 
@@ -408,7 +414,7 @@
     def test_keyed_records_are_framed(self) -> None:
         client = ScriptedClient(Done(200, b'{"offset": 5, "end_offset": 6}'))
         store = StoreClient(client, self.ADDRESS)
-        assert run(store.append("keyed.x", [("ab", b"v")], 5)) == 5
+        assert run(store.append("keyed.x", [("ab", b"v")], at(5))) == at(5)
         (_, method, target, body), _ = client.sent[0]
         assert (method, target) == ("POST", "/log-append?topic=keyed.x&part=0&at=5")
         assert body == struct.pack(">I", 4) + b"\x02abv"
@@ -418,8 +424,8 @@
             ScriptedClient(Done(412, b'{"end_offset": 9}')), self.ADDRESS
         )
         with pytest.raises(AppendConflictError) as caught:
-            run(store.append("x", [("", b"v")], 5))
-        assert caught.value.end_offset == 9
+            run(store.append("x", [("", b"v")], at(5)))
+        assert caught.value.end == at(9)
 
     @pytest.mark.parametrize(
         ("outcome", "may_have_run"),
@@ -445,28 +451,28 @@
         body = struct.pack(">QQ", 13, 0)
         body += b"".join(struct.pack(">I", len(r)) + r for r in records)
         store = StoreClient(ScriptedClient(Done(200, body)), self.ADDRESS)
-        page = run(store.read("keyed.x", 10))
+        page = run(store.read("keyed.x", at(10)))
         assert [(r.offset, r.key, r.value) for r in page.records] == [
             (10, "k", b"a"),
             (11, "k", b""),
             (12, "", b""),
         ]
-        assert page.next_offset == 13
+        assert page.next_position == at(13)
 
     @pytest.mark.parametrize(("end", "at_tip"), [(9, True), (10, False)])
     def test_read_reports_whether_it_reached_the_end(self, end, at_tip) -> None:
         body = struct.pack(">QQI", end, 0, 3) + b"\x01kv"
         client = ScriptedClient(Done(200, body))
-        page = run(StoreClient(client, self.ADDRESS).read("keyed.x", 8))
-        assert page.next_offset == 9
+        page = run(StoreClient(client, self.ADDRESS).read("keyed.x", at(8)))
+        assert page.next_position == at(9)
         assert page.at_tip is at_tip
 
     def test_read_of_removed_records_is_incomplete(self) -> None:
         store = StoreClient(
             ScriptedClient(Done(410, b'{"first_offset": 40}')), self.ADDRESS
         )
-        page = run(store.read("x", 10))
-        assert (page.complete, page.next_offset) == (False, 40)
+        page = run(store.read("x", at(10)))
+        assert (page.complete, page.next_position) == (False, at(40))
 
     def test_read_newest_reads_all_pages_and_continues_from_the_first(self) -> None:
         def build(key: str, more: bool, end: int) -> Done:
@@ -478,7 +484,7 @@
         page = run(StoreClient(client, self.ADDRESS).read_newest("keyed.x"))
         assert [record.key for record in page.records] == ["a", "b"]
         # A change between the pages is read when following from the end of the first.
-        assert page.next_offset == 6
+        assert page.next_position == at(6)
         assert "after=a" in client.sent[1][0][2]
 
 
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -84,6 +84,14 @@
     count: int
 
 
+def append_new_fields(message: NamedTuple, encoded: str) -> bytes:
+    """Return the bytes with the fields that were added since, all 0, at the end."""
+    count = len(message) + 1
+    old = bytes.fromhex(encoded)
+    added = 0x80 + count - old[0]
+    return bytes((0x80 + count,)) + old[1:] + bytes(added)
+
+
 class TestEncodedNames:
     """A renamed class must keep its encoded name, or old peers and data are lost."""
 
@@ -91,7 +99,7 @@
     def test_message_is_encoded_as_before_the_rename(
         self, message: NamedTuple, encoded: str
     ) -> None:
-        assert encode_message(message).hex() == encoded
+        assert encode_message(message) == append_new_fields(message, encoded)
 
     @pytest.mark.parametrize(("message", "encoded"), MESSAGES)
     def test_bytes_from_before_the_rename_are_decoded(
@@ -99,7 +107,7 @@
     ) -> None:
         decoded = decode_message(bytes.fromhex(encoded))
         assert type(decoded) is type(message)
-        assert encode_message(decoded).hex() == encoded
+        assert encode_message(decoded) == append_new_fields(message, encoded)
 
     def test_record_with_the_default_name_is_encoded_as_before(self) -> None:
         record = KeyWithdrawn(b"k", "ann", "n3")
--- /dev/null
+++ b/tests/test_restored_store.py
@@ -0,0 +1,196 @@
+"""Tests of a store that comes back from an older copy."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from tests.support._store_calls import StoreCalls
+from wisteriagw.eras import EraTracker
+from wisteriagw.gateway._configuration_feed import ConfigurationFeed
+from wisteriagw.platform import CONFIGURATION_KEY, CONFIGURATION_TOPIC, StoreClient
+
+ADDRESS = ("10.0.0.1", 80)
+WITHDRAWAL_SECONDS = 5.0
+
+
+def advance(clock: Clock, seconds: float) -> None:
+    """Advance the virtual time in small steps."""
+    for _ in range(round(seconds / 0.05)):
+        clock.advance(0.05)
+
+
+def build_client(clock: Clock, calls: StoreCalls) -> StoreClient:
+    """Return the store client of a process that starts now."""
+    return StoreClient(calls, ADDRESS, EraTracker(clock.seconds))
+
+
+class TestConfigurationAfterRestore:
+    """A VM that read on from its offset missed changes of the configuration."""
+
+    def start(self, versions=(4, 8, 12, 16)) -> ConfigurationFeed:
+        self.clock = Clock()
+        self.clock.advance(100.0)
+        self.calls = StoreCalls(self.clock)
+        for version in versions:
+            self.publish(version)
+            self.clock.advance(3.0)
+        return self.start_vm()
+
+    def start_vm(self) -> ConfigurationFeed:
+        store = build_client(self.clock, self.calls)
+        feed = ConfigurationFeed(
+            self.clock, store, WITHDRAWAL_SECONDS, lambda table: None
+        )
+        feed.follower.start()
+        advance(self.clock, 1.0)
+        return feed
+
+    def publish(self, version: int) -> None:
+        fields = {"version": version, "routes": [], "services": [], "tenants": []}
+        value = json.dumps(fields).encode()
+        self.calls.server.put(CONFIGURATION_TOPIC, CONFIGURATION_KEY, value)
+
+    @pytest.mark.parametrize(
+        ("age", "written_again"),
+        [(8.0, (16,)), (11.0, (16,)), (11.0, (12, 16)), (14.0, (12, 16))],
+    )
+    @pytest.mark.parametrize("away", [False, True])
+    def test_change_after_the_log_has_grown_past_the_old_offset_is_in_force(
+        self, age: float, written_again, away: bool
+    ) -> None:
+        feed = self.start()
+        # A VM that is away meanwhile finds the log grown past its offset again.
+        self.calls.server.down = away
+        advance(self.clock, 2.0)
+        self.calls.server.restore(age)
+        for version in (*written_again, 18):
+            self.publish(version)
+        self.calls.server.down = False
+        advance(self.clock, 3.0)
+        assert feed.table.version == 18
+        self.publish(21)
+        advance(self.clock, 0.5)
+        assert feed.table.version == 21
+
+    def test_two_restores_in_a_row(self) -> None:
+        feed = self.start()
+        for version in (20, 24):
+            self.calls.server.restore(8.0)
+            self.publish(16)
+            self.publish(version)
+            advance(self.clock, 2.0)
+            assert feed.table.version == version
+
+    def test_version_never_decreases(self) -> None:
+        feed = self.start()
+        self.calls.server.restore(20.0)
+        self.publish(4)
+        advance(self.clock, 3.0)
+        assert feed.table.version == 16
+
+    @pytest.mark.parametrize(("era", "seconds"), [(None, 0.5), (1, 4.0)])
+    def test_store_that_is_never_restored_is_followed_as_before(
+        self, era, seconds: float
+    ) -> None:
+        self.clock = Clock()
+        self.calls = StoreCalls(self.clock)
+        self.calls.server.era = era
+        self.publish(4)
+        feed = self.start_vm()
+        self.publish(8)
+        advance(self.clock, seconds)
+        assert feed.table.version == 8
+        assert feed.is_fresh()
+
+
+class TestVmWithOlderConfiguration:
+    """A VM that knew only the copy accepted keys that had been withdrawn."""
+
+    start = TestConfigurationAfterRestore.start
+    start_vm = TestConfigurationAfterRestore.start_vm
+    publish = TestConfigurationAfterRestore.publish
+
+    def test_older_version_of_the_copy_confirms_nothing(self) -> None:
+        feed = self.start()
+        read_at = feed.follower.read_at
+        self.calls.server.restore(8.0)
+        advance(self.clock, 1.0)
+        assert feed.follower.read_at <= read_at + 1.5
+        read_at = feed.follower.read_at
+        advance(self.clock, 0.5)
+        assert feed.follower.read_at == read_at
+        self.publish(16)
+        advance(self.clock, 0.5)
+        assert feed.follower.read_at > read_at
+
+    def test_started_vm_trusts_no_new_era_before_the_operator_has_written(self) -> None:
+        self.start()
+        self.calls.server.restore(8.0)
+        feed = self.start_vm()
+        assert feed.table.version == 8
+        assert not feed.is_fresh()
+        self.publish(16)
+        advance(self.clock, 2.0)
+        assert feed.table.version == 16
+        assert feed.is_fresh()
+
+    def test_peer_tells_a_started_vm_which_version_to_wait_for(self) -> None:
+        self.start()
+        self.calls.server.restore(8.0)
+        feed = self.start_vm()
+        feed.remember(16)
+        self.publish(16)
+        advance(self.clock, 0.3)
+        assert feed.is_fresh()
+
+    def test_version_that_is_never_written_again_does_not_stop_service(self) -> None:
+        feed = self.start()
+        self.calls.server.restore(8.0)
+        feed.remember(17)
+        self.publish(16)
+        advance(self.clock, 5.0)
+        assert feed.is_fresh()
+
+
+class TestStoreEra:
+    """An answer from before a restore, or an odd header, must do no harm."""
+
+    def send(self, headers, store=None) -> StoreClient:
+        from wisteriagw.outcomes import Done
+
+        class Client:
+            async def send(self, *arguments, **options):
+                reply = {"items": [], "has_more": False, "end_offset": 3}
+                return Done(200, json.dumps(reply).encode(), headers=headers)
+
+        store = store or StoreClient(Client(), ADDRESS)
+        store._client = Client()
+        self.failures = []
+        Deferred.fromCoroutine(store.read_newest("keyed.x")).addErrback(
+            self.failures.append
+        )
+        return store
+
+    @pytest.mark.parametrize(
+        "value", [b"", b"x", b"-1", b"1.5", b"2, 2", b" ", b"9" * 400, b"\xb2"]
+    )
+    def test_odd_header_names_no_era(self, value: bytes) -> None:
+        store = self.send(((b"store-era", b"3"),))
+        self.send(((b"store-era", value),), store)
+        assert not self.failures
+        assert store.eras.era == 3
+
+    def test_missing_header_names_no_era(self) -> None:
+        store = self.send(((b"store-era", b"3"),))
+        self.send((), store)
+        assert not self.failures
+        assert store.eras.era == 3
+
+    def test_late_answer_of_an_earlier_era_is_not_used(self) -> None:
+        store = self.send(((b"store-era", b"3"),))
+        self.send(((b"store-era", b"2"),), store)
+        assert self.failures
--- a/wisteriagw/connections/_call.py
+++ b/wisteriagw/connections/_call.py
@@ -42,4 +42,6 @@
         finally:
             self.response.abort()
         content_type = head.find_header(b"content-type") or b""
-        return Done(head.status, body, content_type.decode("latin-1"))
+        return Done(
+            head.status, body, content_type.decode("latin-1"), tuple(head.headers)
+        )
--- a/wisteriagw/gateway/_authority_controller.py
+++ b/wisteriagw/gateway/_authority_controller.py
@@ -23,6 +23,7 @@
 
     from twisted.internet.defer import Deferred
 
+    from wisteriagw.eras import StorePosition
     from wisteriagw.platform import StoreClient, StoreRecord
 
 logger = logging.getLogger(__name__)
@@ -65,7 +66,7 @@
         self._grant: Grant | None = None
         self._unchanged_since = reactor.seconds()
         self._term_ends_at = float("-inf")
-        self._next_offset = -1
+        self._next: StorePosition | None = None
         self._running: Deferred[None] | None = None
 
     def start(self) -> None:
@@ -125,15 +126,15 @@
             await deferLater(self._reactor, min(left, INTERVAL_FRACTION * self._term))
 
     async def _read(self) -> None:
-        if self._next_offset < 0:
+        if self._next is None:
             page = await self._store.read_newest(AUTHORITY_TOPIC)
         else:
             wait = self._get_wait()
-            page = await self._store.read(AUTHORITY_TOPIC, self._next_offset, wait)
+            page = await self._store.read(AUTHORITY_TOPIC, self._next, wait)
         if not page.complete:
-            self._next_offset = -1
+            self._next = None
             return
-        self._next_offset = page.next_offset
+        self._next = page.next_position
         for record in page.records:
             self._apply_record(record)
 
@@ -166,7 +167,7 @@
         self._unchanged_since = self._reactor.seconds()
 
     async def _advance(self) -> None:
-        if self.stopping or self._next_offset < 0:
+        if self.stopping or self._next is None:
             return
         now = self._reactor.seconds()
         step = decide_step(
@@ -179,10 +180,10 @@
         grant = self._build_grant(step)
         value = json.dumps(grant._asdict()).encode("utf-8")
         sent_at = self._reactor.seconds()
-        offset = await self._store.append(
-            AUTHORITY_TOPIC, [(AUTHORITY_KEY, value)], self._next_offset
+        position = await self._store.append(
+            AUTHORITY_TOPIC, [(AUTHORITY_KEY, value)], self._next
         )
-        self._next_offset = offset + 1
+        self._next = position._replace(offset=position.offset + 1)
         if step is AuthorityStep.CLAIM:
             logger.info("holds the authority with number %d", grant.fencing_number)
         self._grant = grant
--- a/wisteriagw/gateway/_context.py
+++ b/wisteriagw/gateway/_context.py
@@ -8,6 +8,7 @@
     from collections.abc import Callable
 
     from wisteriagw.connections import ConnectionPool
+    from wisteriagw.eras import EraTracker
     from wisteriagw.gateway._configuration_feed import ConfigurationFeed
     from wisteriagw.gateway._crash_detector import CrashDetector
     from wisteriagw.gateway._crashing_parts import CrashingParts
@@ -42,3 +43,4 @@
     crash_detector: CrashDetector
     notices: NoticeBoard
     draw: Callable[[], float]
+    eras: EraTracker
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -12,6 +12,7 @@
 
 from wisteriagw.clocks import SteadyWallClock, read_wall_time
 from wisteriagw.connections import CallClient, ConnectionPool, ServerFactory
+from wisteriagw.eras import EraTracker
 from wisteriagw.gateway._authority_duties import AuthorityDuties
 from wisteriagw.gateway._cache_survey import CacheSurvey
 from wisteriagw.gateway._configuration_feed import ConfigurationFeed
@@ -79,7 +80,8 @@
         # A late response to a request must not be taken for that to a call.
         self._call_pool = ConnectionPool(reactor)
         calls = CallClient(reactor, self._call_pool)
-        store = StoreClient(calls, settings.store)
+        eras = EraTracker(reactor.seconds, settings.first_start)
+        store = StoreClient(calls, settings.store, eras)
         self._mesh = Mesh(reactor, settings.vm)
         self.context = self._build_context(store, pool, wall_clock)
         self._members = Members(reactor, store, build_member(settings, incarnation))
@@ -223,6 +225,7 @@
             CrashDetector(reactor, pool, fleet, work, log, metrics, crashing_parts),
             notices,
             random.random,
+            store.eras,
         )
 
     def _build_directory(self) -> ServerFactory:
--- a/wisteriagw/gateway/_read_confirmation.py
+++ b/wisteriagw/gateway/_read_confirmation.py
@@ -55,11 +55,11 @@
         not compared: the relay sends how long ago it received an update of this VM,
         whose sending time is known here.
     """
-    table = context.configuration.table
-    version = -1 if table is None else table.version
-    if update.configuration_version == version:
-        context.configuration.follower.confirm_read(earliest - update.configuration_age)
-    elif update.configuration_version > version:
-        context.configuration.follower.resume_reads()
+    configuration = context.configuration
+    if (
+        configuration.table
+        and update.configuration_version == configuration.get_version()
+    ):
+        configuration.follower.confirm_read(earliest - update.configuration_age)
     if update.register_digest == context.fleet.compute_digest():
         context.fleet.follower.confirm_read(earliest - update.register_age)
--- a/wisteriagw/gateway/_topic_follower.py
+++ b/wisteriagw/gateway/_topic_follower.py
@@ -16,6 +16,7 @@
 
     from twisted.internet.defer import Deferred
 
+    from wisteriagw.eras import StorePosition
     from wisteriagw.platform import StoreClient, StoreRecord
 
 logger = logging.getLogger(__name__)
@@ -35,16 +36,22 @@
     ----------
     handle_snapshot : callable
         ``handle_snapshot(records)`` receives the newest record of each key, at the
-        start and whenever records were lost.
+        start, whenever records were lost, and after the store was restored.
     handle_records : callable
         ``handle_records(records)`` receives the records that follow.
+    is_current : callable or None
+        Returns whether what a read up to the tip has shown can be the newest state;
+        the read does not count otherwise.
 
     Attributes
     ----------
     read_at : float
         Start of the last read that reached the tip; minus infinity before the first.
     recovered_at : float
-        Time of the first success after failures.
+        Time of the first success after failures, or after the store was restored.
+    position : StorePosition or None
+        Position of the next read, None before the first; it is set before
+        ``handle_snapshot`` is called.
     available : bool
         Whether the last call succeeded.
     min_read_interval : float
@@ -65,6 +72,7 @@
         handle_snapshot: Callable[[tuple[StoreRecord, ...]], None],
         handle_records: Callable[[tuple[StoreRecord, ...]], None],
         min_read_interval: float = 0.0,
+        is_current: Callable[[], bool] | None = None,
     ) -> None:
         self.read_at = float("-inf")
         self.recovered_at = float("-inf")
@@ -82,8 +90,10 @@
         self._handle_snapshot = handle_snapshot
         self._handle_records = handle_records
         self.min_read_interval = min_read_interval
-        self._next_offset = -1
+        self.position: StorePosition | None = None
         self._at_tip = False
+        self._is_current = is_current
+        store.eras.subscribe(self.resume_reads)
 
     def start(self) -> None:
         """Follow the topic until the process ends."""
@@ -137,7 +147,7 @@
                 continue
             backoff = MIN_BACKOFF_SECONDS
             self._record_success()
-            if self._at_tip:
+            if self._at_tip and (self._is_current is None or self._is_current()):
                 self.read_at = max(self.read_at, started)
             left = started + self.min_read_interval - self._reactor.seconds()
             if left > 0 and self._at_tip:
@@ -154,26 +164,35 @@
             self._pause = None
 
     async def _read(self) -> None:
-        if self._next_offset < 0:
+        if self.position is None:
             page = await self._store.read_newest(self.topic)
-            self._handle_snapshot(page.records)
-            self._next_offset = page.next_offset
+            self.position = page.next_position
+            try:
+                self._handle_snapshot(page.records)
+            except Exception:
+                self.position = None
+                raise
             self._at_tip = True
             return
         # A read that is sent during an outage is never answered: while the store is
         # unavailable each read is short, so that its return is noticed.
         wait = self.wait if self.available else 0.0
-        page = await self._store.read(self.topic, self._next_offset, wait)
+        page = await self._store.read(self.topic, self.position, wait)
         if not page.complete:
+            if page.next_position.era != self.position.era:
+                self.recovered_at = self._reactor.seconds()
             logger.warning(
-                "records of %s are no longer kept, reading the newest of each key",
+                "records of %s are no longer kept, reading the newest of each key: "
+                "read from %s, the store is at %s",
                 self.topic,
+                self.position,
+                page.next_position,
             )
-            self._next_offset = -1
+            self.position = None
             # No read counts as confirmed before the newest records are read.
             await self._read()
             return
-        self._next_offset = page.next_offset
+        self.position = page.next_position
         self._at_tip = page.at_tip
         if page.records:
             self._handle_records(page.records)
--- a/wisteriagw/gateway/_update_receiver.py
+++ b/wisteriagw/gateway/_update_receiver.py
@@ -78,6 +78,7 @@
             # The data centre of the sender is unknown until its entry is read.
             return
         self._tracker.record_local_message(sender, update.sequence, now)
+        self._observe_store(update)
         self._members.record_seen(sender, update.ready, now)
         self._members.record_start(sender, now - update.uptime)
         self._context.work.apply_peer_work(sender, update.work, now)
@@ -88,6 +89,7 @@
     def _handle_relay_update(self, sender: str, update: RelayUpdate) -> None:
         now = self._reactor.seconds()
         self._tracker.record_relay_message(sender, update.selected, now)
+        self._observe_store(update)
         self._record_seen(update.live_vms, now)
         self._members.record_start(sender, now - update.uptime)
         if update.data_centre != self._data_centre:
@@ -103,6 +105,7 @@
         peers = self._tracker.peers
         if peers.is_relay or sender not in peers.relays:
             return
+        self._observe_store(update)
         self._record_seen(update.live_vms, now)
         self._members.record_start(sender, now - update.uptime)
         found = self._sent.find(update.received)
@@ -113,7 +116,7 @@
         if sender == peers.relays[0]:
             self._apply(update, now)
         self._context.fleet.apply_relayed_changes(
-            StoreRecord(offset, server, value)
+            StoreRecord(offset, server, value, update.era)
             for offset, server, value in update.entries
         )
         if found:
@@ -127,6 +130,12 @@
             self.record_parts(server, ((part, tokens),))
         self._queues.for_served_vms.add_parts(transfer.parts)
 
+    def _observe_store(self, update: GatewayUpdate | RelayUpdate | FleetUpdate) -> None:
+        # An era of 0 is also that of a sender that knows none.
+        self._context.eras.observe(update.era or None)
+        if update.configuration_version > self._context.configuration.get_version():
+            self._context.configuration.remember(update.configuration_version)
+
     def _record_seen(self, rows: Iterable[tuple], now: float) -> None:
         for vm, ready, age in rows:
             self._members.record_seen(vm, ready, now - age)
--- a/wisteriagw/gateway/_update_sender.py
+++ b/wisteriagw/gateway/_update_sender.py
@@ -85,6 +85,8 @@
             uptime=now - self._started_at,
             usage=usage,
             sequence=sequence,
+            configuration_version=self._context.configuration.get_version(),
+            era=self._context.eras.era,
         )
         # Only one relay forwards the deltas, so that nothing is counted twice.
         self._mesh.send(peers.relays[0], update._replace(**deltas._asdict()))
@@ -103,6 +105,8 @@
             tuple(self._context.work.sum_work(now, served)),
             *self._queues.for_relays.pop(),
             usage=() if peers.relays else usage,
+            configuration_version=self._context.configuration.get_version(),
+            era=self._context.eras.era,
         )
         self._mesh.multicast(peers.selected_relays, update)
         self._mesh.multicast(peers.reply_peers, update._replace(selected=False))
@@ -115,8 +119,8 @@
             self._listed_at = now
         if not peers.served_vms:
             return
-        table = self._context.configuration.table
         read_at = self._context.fleet.follower.read_at
+        era = self._context.eras.era
         served = self._tracker.served
         update = FleetUpdate(
             oldest,
@@ -124,14 +128,15 @@
                 (vm, served[vm].sequence, now - served[vm].at)
                 for vm in peers.served_vms
             ),
-            0 if table is None else table.version,
+            self._context.configuration.get_version(),
             self._context.configuration.get_age(),
             self._context.fleet.compute_digest(),
             now - read_at,
-            tuple(tuple(record) for record in changes),
+            tuple(tuple(record[:3]) for record in changes),
             tuple(self._members.list_ages(now, self._is_ready())) if list_due else (),
             tuple(self._context.work.sum_work(now)),
             *deltas,
+            era,
         )
         self._mesh.multicast(peers.served_vms, update)
 
--- a/wisteriagw/gateway/_usage_reporter.py
+++ b/wisteriagw/gateway/_usage_reporter.py
@@ -5,6 +5,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from wisteriagw.eras import UNKNOWN_ERA, StorePosition
 from wisteriagw.gateway._usage_windows import UsageWindows, encode_seal
 from wisteriagw.platform import (
     USAGE_TOPIC,
@@ -57,7 +58,7 @@
         self._get_copies = get_copies
         self._list_vms = list_vms
         self._windows = UsageWindows()
-        self._next_offset = 0
+        self._next = StorePosition(UNKNOWN_ERA, 0)
         self._reported: set[int] = set()
 
     async def run_cycle(self) -> None:
@@ -87,9 +88,9 @@
 
     async def _read_topic(self) -> None:
         while True:
-            page = await self._store.read(USAGE_TOPIC, self._next_offset)
+            page = await self._store.read(USAGE_TOPIC, self._next)
             self._windows.apply_records(page.records)
-            self._next_offset = page.next_offset
+            self._next = page.next_position
             if page.complete and not page.records:
                 return
 
@@ -97,7 +98,7 @@
         counts = self._windows.sum_counts(window, self._get_copies(window))
         try:
             await self._store.append(
-                USAGE_TOPIC, [("", encode_seal(window, counts))], self._next_offset
+                USAGE_TOPIC, [("", encode_seal(window, counts))], self._next
             )
         except AppendConflictError:
             # Counts were appended in the meantime; the next cycle reads them.
--- a/wisteriagw/messages/_fleet_update.py
+++ b/wisteriagw/messages/_fleet_update.py
@@ -35,6 +35,8 @@
         Rows of backend server, waiting prompt tokens and streams of all VMs.
     parts, unavailable, results : tuple
         As in ``GatewayUpdate``, of all VMs.
+    era : int
+        Era of the store to which the offsets belong.
     """
 
     uptime: float
@@ -49,3 +51,4 @@
     parts: tuple = ()
     unavailable: tuple = ()
     results: tuple = ()
+    era: int = 0
--- a/wisteriagw/messages/_gateway_update.py
+++ b/wisteriagw/messages/_gateway_update.py
@@ -35,6 +35,10 @@
         a second.
     sequence : int
         Number of the message; relays acknowledge it in their updates.
+    configuration_version : int
+        Version that the sender has in force; 0 if none.
+    era : int
+        Newest era of the store that the sender knows.
     """
 
     ready: bool
@@ -46,3 +50,5 @@
     uptime: float = 0.0
     usage: tuple = ()
     sequence: int = 0
+    configuration_version: int = 0
+    era: int = 0
--- a/wisteriagw/messages/_relay_update.py
+++ b/wisteriagw/messages/_relay_update.py
@@ -30,6 +30,10 @@
         As in ``GatewayUpdate``, of the VMs whose first relay is the sender.
     usage : tuple
         Rows of usage of the sender, if no other VM of its data centre stores them.
+    configuration_version : int
+        Version that the sender has in force; 0 if none.
+    era : int
+        Newest era of the store that the sender knows.
     """
 
     data_centre: str
@@ -42,3 +46,5 @@
     unavailable: tuple = ()
     results: tuple = ()
     usage: tuple = ()
+    configuration_version: int = 0
+    era: int = 0
--- a/wisteriagw/platform/_append_conflict.py
+++ b/wisteriagw/platform/_append_conflict.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from wisteriagw.eras import StorePosition
+
 
 class AppendConflictError(Exception):
-    """The partition does not end at the offset that the append expected."""
+    """The partition did not end at the position that the append expected."""
 
-    def __init__(self, end_offset: int) -> None:
-        super().__init__(f"the partition ends at {end_offset}")
-        self.end_offset = end_offset
+    def __init__(self, end: StorePosition) -> None:
+        super().__init__(f"the partition ends at {end}")
+        self.end = end
--- a/wisteriagw/platform/_store_client.py
+++ b/wisteriagw/platform/_store_client.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
 
+from wisteriagw.eras import EraTracker, StorePosition
 from wisteriagw.jsondata import load_json
 from wisteriagw.outcomes import Done, FailedNotRun, RefusedNotRun
 from wisteriagw.platform._append_conflict import AppendConflictError
@@ -20,6 +21,9 @@
     from wisteriagw.outcomes import Outcome
 
 KEYED_PREFIX = "keyed."
+ERA_HEADER = b"store-era"
+# Fencing numbers hold the era beside an offset.
+MAX_ERA_DIGITS = 6
 RECORD_LENGTH = struct.Struct(">I")
 READ_HEADER = struct.Struct(">QQ")
 # The store usually responds within milliseconds; a call that takes a second is given
@@ -36,9 +40,20 @@
         Sends calls and returns their outcomes.
     address : tuple of str and int
         Address of the store.
+
+    Attributes
+    ----------
+    eras : EraTracker
+        Era of the store.
     """
 
-    def __init__(self, client: Any, address: tuple[str, int]) -> None:
+    def __init__(
+        self,
+        client: Any,
+        address: tuple[str, int],
+        eras: EraTracker | None = None,
+    ) -> None:
+        self.eras = eras or EraTracker()
         self._client = client
         self._address = address
 
@@ -46,37 +61,45 @@
         self,
         topic: str,
         records: Iterable[tuple[str, bytes]],
-        expected_end: int | None = None,
-    ) -> int:
-        """Append key-value records atomically; return the offset of the first.
+        expected_end: StorePosition | None = None,
+    ) -> StorePosition:
+        """Append key-value records atomically; return the position of the first.
 
-        Raises AppendConflictError if the topic does not end at ``expected_end``.
+        Raises AppendConflictError if the topic does not end at ``expected_end``, and
+        also if the records were appended at that offset in another era.
         """
         query: dict[str, Any] = {"topic": topic, "part": 0}
         if expected_end is not None:
-            query["at"] = expected_end
+            query["at"] = expected_end.offset
         keyed = topic.startswith(KEYED_PREFIX)
         body = b"".join(encode_record(key, value, keyed) for key, value in records)
-        outcome = await self._call("POST", f"/log-append?{urlencode(query)}", body)
+        outcome, era = await self._call("POST", f"/log-append?{urlencode(query)}", body)
         reply = read_json(outcome, (200, 412))
+        end = StorePosition(era, int(reply["end_offset"]))
         if outcome.status == 412:
-            raise AppendConflictError(int(reply["end_offset"]))
-        return int(reply["offset"])
-
-    async def read(self, topic: str, start: int, wait: float = 0.0) -> StorePage:
-        """Read records from an offset on; wait up to ``wait`` seconds for the first."""
+            raise AppendConflictError(end)
+        if expected_end is not None and expected_end.era != era:
+            raise AppendConflictError(end)
+        return StorePosition(era, int(reply["offset"]))
+
+    async def read(
+        self, topic: str, start: StorePosition, wait: float = 0.0
+    ) -> StorePage:
+        """Read records from a position on; wait some seconds for the first."""
         query = urlencode(
             {
                 "topic": topic,
                 "part": 0,
-                "from": start,
+                "from": start.offset,
                 "max_wait_ms": int(wait * 1000),
             }
         )
-        outcome = await self._call("GET", f"/log-read?{query}", wait=wait)
+        outcome, era = await self._call("GET", f"/log-read?{query}", wait=wait)
+        if outcome.status in (200, 410) and era != start.era:
+            return StorePage((), StorePosition(era, 0), complete=False)
         if outcome.status == 410:
             first = int(read_json(outcome, (410,))["first_offset"])
-            return StorePage((), first, complete=False)
+            return StorePage((), StorePosition(era, first), complete=False)
         check_status(outcome, (200,))
         return decode_records(outcome.body, start, topic.startswith(KEYED_PREFIX))
 
@@ -84,28 +107,36 @@
         """Read the newest record of each key."""
         records: list[StoreRecord] = []
         query: dict[str, Any] = {"topic": topic, "part": 0}
-        end = -1
+        end: StorePosition | None = None
         while True:
-            outcome = await self._call("GET", f"/log-newest?{urlencode(query)}")
+            outcome, era = await self._call("GET", f"/log-newest?{urlencode(query)}")
             reply = read_json(outcome, (200,))
+            if end is not None and era != end.era:
+                raise StoreUnavailableError(
+                    f"the store was restored while {topic} was read", may_have_run=False
+                )
             items = reply["items"]
             records.extend(
                 StoreRecord(
-                    item["offset"], item["key"], base64.b64decode(item["value"] or "")
+                    item["offset"],
+                    item["key"],
+                    base64.b64decode(item["value"] or ""),
+                    era,
                 )
                 for item in items
             )
             # The pages are not a snapshot: following the topic from the end offset of
             # the first page also covers changes made between the pages.
-            if end < 0:
-                end = int(reply["end_offset"])
+            if end is None:
+                end = StorePosition(era, int(reply["end_offset"]))
             if not reply["has_more"] or not items:
                 return StorePage(tuple(records), end)
             query["after"] = items[-1]["key"]
 
     async def _call(
         self, method: str, target: str, body: bytes = b"", wait: float = 0.0
-    ) -> Done:
+    ) -> tuple[Done, int]:
+        """Return the response to a call, and the era of the store."""
         outcome = await self._client.send(
             self._address, method, target, body, timeout=wait + CALL_TIMEOUT_SECONDS
         )
@@ -116,7 +147,11 @@
                 else outcome.reason,
                 may_have_run=not isinstance(outcome, (FailedNotRun, RefusedNotRun)),
             )
-        return outcome
+        if not self.eras.observe(decode_era(outcome.headers)):
+            raise StoreUnavailableError(
+                "the response is from before the store was restored", may_have_run=True
+            )
+        return outcome, self.eras.era
 
 
 def encode_record(key: str, value: bytes, keyed: bool) -> bytes:
@@ -128,7 +163,15 @@
     return RECORD_LENGTH.pack(len(content)) + content
 
 
-def decode_records(body: bytes, start: int, keyed: bool) -> StorePage:
+def decode_era(headers: Iterable[tuple[bytes, bytes]]) -> int | None:
+    """Return the era that a response names, None if it names no valid one."""
+    for name, value in headers:
+        if name == ERA_HEADER and value.isdigit() and len(value) <= MAX_ERA_DIGITS:
+            return int(value)
+    return None
+
+
+def decode_records(body: bytes, start: StorePosition, keyed: bool) -> StorePage:
     """Decode the records in the response body of a read."""
     if len(body) < READ_HEADER.size:
         raise StoreUnavailableError(
@@ -136,27 +179,28 @@
             may_have_run=False,
         )
     records: list[StoreRecord] = []
-    position, offset = READ_HEADER.size, start
+    position, offset = READ_HEADER.size, int(start.offset)
     while position + RECORD_LENGTH.size <= len(body):
         (length,) = RECORD_LENGTH.unpack_from(body, position)
         position += RECORD_LENGTH.size
         content = body[position : position + length]
         position += length
-        records.append(decode_record(offset, content, keyed))
+        records.append(decode_record(offset, content, keyed, int(start.era)))
         offset += 1
     end, _ = READ_HEADER.unpack_from(body)
-    return StorePage(tuple(records), offset, at_tip=offset >= end)
+    next_position = StorePosition(start.era, offset)
+    return StorePage(tuple(records), next_position, at_tip=offset >= end)
 
 
-def decode_record(offset: int, content: bytes, keyed: bool) -> StoreRecord:
+def decode_record(offset: int, content: bytes, keyed: bool, era: int) -> StoreRecord:
     """Decode a record; one without a valid key gets an empty key."""
     if not keyed:
-        return StoreRecord(offset, "", content)
+        return StoreRecord(offset, "", content, era)
     if not content:
-        return StoreRecord(offset, "", b"")
+        return StoreRecord(offset, "", b"", era)
     length = content[0]
     name = content[1 : 1 + length].decode("utf-8", "replace")
-    return StoreRecord(offset, name, content[1 + length :])
+    return StoreRecord(offset, name, content[1 + length :], era)
 
 
 def check_status(outcome: Outcome, statuses: tuple[int, ...]) -> None:
--- a/wisteriagw/platform/_store_page.py
+++ b/wisteriagw/platform/_store_page.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
+    from wisteriagw.eras import StorePosition
     from wisteriagw.platform._store_record import StoreRecord
 
 
@@ -15,15 +16,16 @@
     ----------
     records : tuple of StoreRecord
         Records that were read.
-    next_offset : int
-        Offset to read from next.
+    next_position : StorePosition
+        Position to read from next.
     complete : bool
-        False if records before ``next_offset`` were removed before they could be read.
+        False if records before ``next_position`` could not be read: they were removed,
+        or the store was restored, and the page is of another era than was asked for.
     at_tip : bool
         Whether the read reached the end of the partition.
     """
 
     records: tuple[StoreRecord, ...]
-    next_offset: int
+    next_position: StorePosition
     complete: bool = True
     at_tip: bool = True
--- a/wisteriagw/standins/_platform_stand_in.py
+++ b/wisteriagw/standins/_platform_stand_in.py
@@ -45,6 +45,7 @@
         self._address = address
         self._draining: set[str] = set()
         self._starts: dict[str, int] = {}
+        self._configuration = b""
 
     def start(self) -> None:
         """Listen on the address, and on the ports after it for the backend servers."""
@@ -66,6 +67,7 @@
             self._set_faults(json.loads(request.body))
             responder.reply(200)
         elif request.target == b"/configuration":
+            self._configuration = request.body
             self.store.put(CONFIGURATION_TOPIC, CONFIGURATION_KEY, request.body)
             responder.reply(200)
         elif request.target in (b"/usage", b"/scale"):
@@ -81,6 +83,8 @@
     def _set_faults(self, faults: dict[str, Any]) -> None:
         self.store.down = bool(faults.get("down", self.store.down))
         self.store.topics.lost_replies += int(faults.get("lose", 0))
+        if "restore" in faults:
+            self._restore(float(faults["restore"]))
         self._set_draining(set(faults.get("gone", self._draining)))
         for name, limit in faults.get("limit", {}).items():
             self.backend_servers[name].limit = limit
@@ -89,6 +93,12 @@
         for name, count in faults.get("refuse", {}).items():
             self.backend_servers[name].refusals += count
 
+    def _restore(self, seconds: float) -> None:
+        self.store.restore(seconds)
+        # The operator writes again what was lost, as the backend servers do.
+        if self._configuration:
+            self.store.put(CONFIGURATION_TOPIC, CONFIGURATION_KEY, self._configuration)
+
     def _set_draining(self, names: set[str]) -> None:
         for name in self._draining - names:
             # A server that left starts again as another process.
--- a/wisteriagw/standins/_store_server.py
+++ b/wisteriagw/standins/_store_server.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import base64
+import bisect
 import json
 import struct
 from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qs
 
+from wisteriagw.standins._era_responder import EraResponder
 from wisteriagw.standins._topic_store import TopicStore
 
 if TYPE_CHECKING:
@@ -29,12 +31,16 @@
         Stored topics; their ``lost_replies`` closes connections after an append.
     down : bool
         Whether calls are aborted without an effect.
+    era : int
+        Era that all responses name, None if they name none.
     """
 
     def __init__(self, reactor: Any) -> None:
         self.topics = TopicStore()
         self.down = False
+        self.era: int | None = 1
         self._reactor = reactor
+        self._times: dict[str, list[float]] = {}
         self._waiting: list[tuple[str, Callable[[], None]]] = []
 
     def handle(self, request: HttpRequest, responder: Responder) -> None:
@@ -42,6 +48,7 @@
         if self.down:
             responder.abort()
             return
+        responder = EraResponder(responder, self)
         path, _, query = request.target.partition(b"?")
         values = {key: found[0] for key, found in parse_qs(query.decode()).items()}
         if path == b"/log-append":
@@ -55,9 +62,27 @@
 
     def put(self, topic: str, key: str, value: bytes) -> None:
         """Append a record without faults and answer the reads that wait for it."""
-        self.topics.put(topic, key, value)
+        self._put(topic, key, value)
         self._wake_readers(topic)
 
+    def restore(self, seconds: float) -> None:
+        """Come back from a copy that is some seconds old, in the next era."""
+        taken_at = self._reactor.seconds() - seconds
+        ends = {
+            topic: bisect.bisect_right(times, taken_at)
+            for topic, times in self._times.items()
+        }
+        self.topics.restore(ends)
+        for topic, end in ends.items():
+            del self._times[topic][end:]
+        self.era = None if self.era is None else self.era + 1
+        for _, finish in list(self._waiting):
+            finish()
+
+    def _put(self, topic: str, key: str, value: bytes) -> None:
+        self.topics.put(topic, key, value)
+        self._times.setdefault(topic, []).append(self._reactor.seconds())
+
     def _append(self, values: dict, body: bytes, responder: Responder) -> None:
         topic = values["topic"]
         end = self.topics.get_end(topic)
@@ -66,7 +91,7 @@
             responder.reply(412, JSON_HEADERS, reply)
             return
         for key, value in decode_records(body, topic.startswith(KEYED_PREFIX)):
-            self.topics.put(topic, key, value)
+            self._put(topic, key, value)
         self._wake_readers(topic)
         if self.topics.lost_replies:
             self.topics.lost_replies -= 1
@@ -77,6 +102,9 @@
 
     def _read(self, values: dict, responder: Responder, wait: float) -> None:
         topic, start = values["topic"], int(values["from"])
+        if start > self.topics.get_end(topic):
+            responder.reply(410, JSON_HEADERS, b'{"first_offset": 0}')
+            return
         records = self.topics.list_records(topic, start)
         if not records and wait > 0:
             self._wait(topic, values, responder, wait)
