Compare entries and departures of servers by era and offset

Callers' requests would reach servers that had left, and a server that is back would get none for long, after the store came back from an older copy.

Cause: the register's offsets were compared across eras. An entry that was written again at a lower offset was ignored (also one that says that the server leaves), and a departure was held against offsets of another era.

Change: the feed, the removals and the departures hold positions. When the register is read in a new era, the departures of earlier eras overrule all that this read returns, because an entry of the copy may be older than the departure; the server's next entry is written after it. Relayed changes count only in the era in which this VM has read the register. A departure is sent to peers as one number of the same order, which is the offset in era 0, so the messages keep their form.

Evidence: test_entries_written_again_at_lower_offsets_are_taken and test_server_that_was_removed_is_used_after_its_next_entry fail without the change. Ruled out: that a copy's entry brings back a server that left (passes before, because its offset is lower; the test keeps it so).

--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -9,9 +9,18 @@
 from twisted.internet.task import Clock
 
 from tests.support._store_calls import StoreCalls
-from wisteriagw.eras import EraTracker
+from wisteriagw.eras import FOREVER, EraTracker, StorePosition
 from wisteriagw.gateway._configuration_feed import ConfigurationFeed
-from wisteriagw.platform import CONFIGURATION_KEY, CONFIGURATION_TOPIC, StoreClient
+from wisteriagw.gateway._fleet_feed import FleetFeed
+from wisteriagw.gateway.notices._rows import decode_rows, encode_rows
+from wisteriagw.notices import Departure
+from wisteriagw.platform import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TOPIC,
+    REGISTER_TOPIC,
+    StoreClient,
+    StoreRecord,
+)
 
 ADDRESS = ("10.0.0.1", 80)
 WITHDRAWAL_SECONDS = 5.0
@@ -156,6 +165,100 @@
         assert feed.is_fresh()
 
 
+class TestRegisterAfterRestore:
+    """A VM sent requests to servers that had left, or none to those that were back."""
+
+    def start(self) -> FleetFeed:
+        self.clock = Clock()
+        self.clock.advance(100.0)
+        self.calls = StoreCalls(self.clock)
+        self.write("i-1", "ready")
+        self.write("i-2", "ready")
+        store = build_client(self.clock, self.calls)
+        feed = FleetFeed(self.clock, store, lambda server: None)
+        feed.follower.start()
+        advance(self.clock, 3.0)
+        return feed
+
+    def write(self, name: str, state: str) -> None:
+        fields = {
+            "service": "lm",
+            "address": "10.0.0.9:80",
+            "zone": "north",
+            "state": state,
+            "born": 1,
+        }
+        value = json.dumps(fields).encode() if state else b""
+        self.calls.server.put(REGISTER_TOPIC, name, value)
+
+    def is_usable(self, feed: FleetFeed, name: str) -> bool:
+        server = feed.fleet.servers.get(name)
+        return server is not None and not server.leaving
+
+    @pytest.mark.parametrize("state", ["draining", ""])
+    def test_entry_of_the_copy_does_not_bring_back_a_server_that_left(
+        self, state: str
+    ) -> None:
+        feed = self.start()
+        self.write("i-1", state)
+        advance(self.clock, 1.0)
+        self.calls.server.restore(2.0)
+        advance(self.clock, 3.0)
+        assert not self.is_usable(feed, "i-1")
+        assert self.is_usable(feed, "i-2")
+
+    def test_entries_written_again_at_lower_offsets_are_taken(self) -> None:
+        feed = self.start()
+        for _ in range(20):
+            self.write("i-1", "ready")
+        advance(self.clock, 1.0)
+        self.calls.server.restore(10.0)
+        self.write("i-1", "ready")
+        advance(self.clock, 0.5)
+        self.write("i-1", "draining")
+        advance(self.clock, 1.0)
+        assert not self.is_usable(feed, "i-1")
+
+    def test_server_that_was_removed_is_used_after_its_next_entry(self) -> None:
+        feed = self.start()
+        self.write("i-1", "")
+        advance(self.clock, 1.0)
+        self.calls.server.restore(2.0)
+        advance(self.clock, 1.0)
+        feed.pop_changes()
+        self.write("i-1", "ready")
+        advance(self.clock, 1.0)
+        assert self.is_usable(feed, "i-1")
+        # VMs that rely on this one learn it too.
+        assert [record.key for record in feed.pop_changes()] == ["i-1"]
+
+    def test_missing_entries_are_kept_until_they_can_be_written_again(self) -> None:
+        feed = self.start()
+        self.calls.server.restore(10.0)
+        advance(self.clock, 1.0)
+        assert self.is_usable(feed, "i-1")
+        advance(self.clock, 2.0)
+        assert not feed.fleet.servers
+
+    def test_server_that_says_itself_that_it_leaves_stays_so(self) -> None:
+        feed = self.start()
+        feed.notices.record(Departure("i-1", 1, FOREVER))
+        self.calls.server.restore(2.0)
+        self.write("i-1", "ready")
+        advance(self.clock, 2.0)
+        self.write("i-1", "ready")
+        advance(self.clock, 1.0)
+        assert not self.is_usable(feed, "i-1")
+
+    def test_relayed_change_of_an_era_that_is_not_read_yet_is_ignored(self) -> None:
+        feed = self.start()
+        self.write("i-1", "draining")
+        advance(self.clock, 1.0)
+        value = self.calls.server.topics.list_records(REGISTER_TOPIC, 0)[0].value
+        feed.apply_relayed_changes([StoreRecord(0, "i-1", value, era=2)])
+        assert not self.is_usable(feed, "i-1")
+
+
 class TestStoreEra:
     """An answer from before a restore, or an odd header, must do no harm."""
 
@@ -194,3 +297,19 @@
         store = self.send(((b"store-era", b"3"),))
         self.send(((b"store-era", b"2"),), store)
         assert self.failures
+
+    @pytest.mark.parametrize(
+        "position", [StorePosition(0, 7), StorePosition(3, 2**31), FOREVER]
+    )
+    def test_position_of_a_departure_is_the_same_at_peers(self, position) -> None:
+        notice = Departure("i-1", 1, position)
+        assert decode_rows(encode_rows([(notice, 1.0)], 1.0), 1.0) == [(notice, 1.0)]
+
+    def test_positions_of_a_later_era_are_greater(self) -> None:
+        numbers = [
+            StorePosition(era, offset).encode()
+            for era in range(3)
+            for offset in (0, 9, 2**32 - 1)
+        ]
+        assert numbers == sorted(set(numbers))
+        assert numbers[1] == 9
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -8,6 +8,7 @@
 
 from tests.support._gateway_fixture import GatewayFixture
 from tests.support._simulated_fleet import SimulatedFleet
+from wisteriagw.eras import FOREVER, StorePosition
 from wisteriagw.notices import Departure, NoticeTable, Pause, RateLimit
 from wisteriagw.platform import StoreRecord
 
@@ -119,26 +120,27 @@
 
     def test_later_process_is_not_bound(self) -> None:
         table = NoticeTable()
-        assert table.record(Departure("i-1", 4, float("inf")), 1.0)
+        assert table.record(Departure("i-1", 4, FOREVER), 1.0)
         gateway = GatewayFixture()
         gateway.add_server("i-1", "lm", 30, born=5)
         server = gateway.fleet.fleet.servers["i-1"]
-        assert not table.is_leaving(server, 0)
-        assert table.is_leaving(server._replace(born=4), 10**9)
-        table.record(Departure("i-1", 5, 7.0), 2.0)
-        assert not table.record(Departure("i-1", 4, float("inf")), 3.0)
-        assert table.is_leaving(server, 7) and not table.is_leaving(server, 8)
+        assert not table.is_leaving(server, StorePosition(0, 0))
+        assert table.is_leaving(server._replace(born=4), StorePosition(9, 10**9))
+        table.record(Departure("i-1", 5, StorePosition(0, 7)), 2.0)
+        assert not table.record(Departure("i-1", 4, FOREVER), 3.0)
+        assert table.is_leaving(server, StorePosition(0, 7))
+        assert not table.is_leaving(server, StorePosition(0, 8))
 
     def test_repeated_notice_tells_nothing_new(self) -> None:
         table = NoticeTable()
-        assert table.record(Departure("i-1", 4, 7.0), 1.0)
-        assert not table.record(Departure("i-1", 4, 7.0), 2.0)
-        assert not table.record(Departure("i-1", 4, 6.0), 2.0)
+        assert table.record(Departure("i-1", 4, StorePosition(0, 7)), 1.0)
+        assert not table.record(Departure("i-1", 4, StorePosition(0, 7)), 2.0)
+        assert not table.record(Departure("i-1", 4, StorePosition(0, 6)), 2.0)
 
     def test_notices_of_servers_that_are_gone_are_forgotten(self) -> None:
         table = NoticeTable()
         for number in range(100):
-            table.record(Departure(f"i-{number}", 1, 7.0), 1.0)
+            table.record(Departure(f"i-{number}", 1, StorePosition(0, 7)), 1.0)
         table.expire({"i-3"}, 1_000.0)
         assert [name for name, _ in table.list_conditions()] == ["i-3"]
 
@@ -203,7 +205,7 @@
         gateway = GatewayFixture()
         gateway.fleet.apply_relayed_changes([build_record(5)])
         server = gateway.fleet.fleet.servers["i-1"]
-        gateway.notices.record(Departure("i-1", server.born, float("inf")))
+        gateway.notices.record(Departure("i-1", server.born, FOREVER))
         gateway.fleet.apply_relayed_changes([build_record(9)])
         assert gateway.fleet.fleet.servers["i-1"].leaving
         gateway.fleet.apply_relayed_changes([build_record(10, born=2)])
@@ -304,7 +306,7 @@
     def test_notices_in_force_are_counted(self) -> None:
         gateway = GatewayFixture()
         gateway.notices.record(Pause("desk-1", 0, 3.0))
-        gateway.notices.record(Departure("desk-2", 0, float("inf")))
+        gateway.notices.record(Departure("desk-2", 0, FOREVER))
         gateway.notices.record(RateLimit("lm-1", 0, 2.0))
         gateway.clock.advance(1.0)
         assert set(gateway.notices.count_in_force().values()) == {1}
--- a/tests/test_stream_backups.py
+++ b/tests/test_stream_backups.py
@@ -7,6 +7,7 @@
 import pytest
 
 from tests.support._gateway_fixture import ROUTES, GatewayFixture
+from wisteriagw.eras import FOREVER
 from wisteriagw.notices import Departure, Pause, RateLimit
 from wisteriagw.placement import ServerView, choose_backup
 from wisteriagw.platform import decode_configuration
@@ -106,10 +107,16 @@
         assert second.address == server.address
         assert gateway.notices.find_wait(server, gateway.clock.seconds()) > 0
 
-    @pytest.mark.parametrize("kind", [Pause, Departure])
-    def test_no_run_goes_on_at_an_engine_that_wants_none(self, kind: type) -> None:
+    @pytest.mark.parametrize(
+        ("kind", "value"),
+        [(Pause, 9.0), (Departure, FOREVER)],
+        ids=["Pause", "Departure"],
+    )
+    def test_no_run_goes_on_at_an_engine_that_wants_none(
+        self, kind: type, value
+    ) -> None:
         gateway, backup = self.start()
-        gateway.notices.record(kind(backup, 0, 9.0))
+        gateway.notices.record(kind(backup, 0, value))
         first = gateway.pool.sent[0]
         first.start(200)
         first.response.handle_part(EVENT % 1)
--- a/wisteriagw/gateway/_fleet_feed.py
+++ b/wisteriagw/gateway/_fleet_feed.py
@@ -8,6 +8,7 @@
 
 import xxhash
 
+from wisteriagw.eras import NOWHERE, UNKNOWN_ERA, StorePosition
 from wisteriagw.findings import Finding
 from wisteriagw.fleet import Fleet
 from wisteriagw.gateway._topic_follower import TopicFollower
@@ -41,10 +42,10 @@
 REREGISTRATION_SECONDS = 1.7
 # Time for the read that follows a lost one, and for a request that was placed before.
 READ_MARGIN_SECONDS = 0.3
-# Servers whose newest offset is kept, removed ones included, so that older records are
-# ignored. Beyond this number the offset updated least recently is dropped: a delayed
-# row of a relay is never overtaken by records of as many other servers.
-MAX_OFFSETS = 4_096
+# Servers whose newest position is kept, removed ones included, so that older records
+# are ignored. Beyond this number the position updated least recently is dropped: a
+# delayed row of a relay is never overtaken by records of as many other servers.
+MAX_POSITIONS = 4_096
 
 
 class FleetFeed:
@@ -65,6 +66,8 @@
         Entries in force; those of servers that gave notice to leave say so.
     notices : NoticeBoard
         What servers said of themselves.
+    era : int
+        Era of the store in which all entries were last read.
     """
 
     def __init__(
@@ -82,10 +85,11 @@
         self._registered: dict[str, BackendServer] = {}
         self._on_lost = on_lost
         self._missing: set[str] = set()
-        # Offset of the removal of a server that is not known to be back.
-        self._removals: dict[str, int] = {}
-        self._offsets: OrderedDict[str, int] = OrderedDict()
+        # Position of the removal of a server that is not known to be back.
+        self._removals: dict[str, StorePosition] = {}
+        self._positions: OrderedDict[str, StorePosition] = OrderedDict()
         self._changes: list[StoreRecord] = []
+        self.era = UNKNOWN_ERA
         self._digest: int | None = None
         self.follower = TopicFollower(
             reactor,
@@ -110,19 +114,31 @@
         return changes
 
     def apply_relayed_changes(self, records: Iterable[StoreRecord]) -> None:
-        """Apply changes that a relay has read and sent on."""
+        """Apply changes that a relay has read and sent on.
+
+        Those of an era whose entries this VM has not read yet are ignored: they do not
+        tell which entries were restored from a copy.
+        """
         for record in records:
-            if record.offset < self._offsets.get(record.key, -1):
+            if record.era != self.era:
+                continue
+            if record.position < self._positions.get(record.key, NOWHERE):
                 continue
             if record.value:
                 self.apply_records((record,))
                 continue
             known = self.fleet.servers.get(record.key)
             if known is not None:
-                self._record_offset(record.key, record.offset)
+                self._record_position(record.key, record.position)
                 self._drop(known)
 
     def _apply_snapshot(self, records: tuple[StoreRecord, ...]) -> None:
+        end = self.follower.position
+        if end.era != self.era:
+            logger.info("reading the register anew up to %s", end)
+            self.era = int(end.era)
+            self._removals.clear()
+            self.notices.table.extend_departures(end._replace(offset=end.offset - 1))
         present = {record.key for record in records if record.value}
         for name in list(self.fleet.servers):
             if name not in present:
@@ -132,12 +148,12 @@
     def apply_records(self, records: Iterable[StoreRecord]) -> None:
         """Apply records of the register in their order."""
         for record in records:
-            if record.offset < self._offsets.get(record.key, -1):
+            if record.position < self._positions.get(record.key, NOWHERE):
                 # A relay has already sent a newer record.
                 continue
-            self._record_offset(record.key, record.offset)
+            self._record_position(record.key, record.position)
             if not record.value:
-                self._removals[record.key] = record.offset
+                self._removals[record.key] = record.position
                 self._remove(record.key)
                 continue
             entry = decode_entry(record.key, record.value)
@@ -146,16 +162,17 @@
                 continue
             self._put(entry, record)
 
-    def _record_offset(self, name: str, offset: int) -> None:
-        self._offsets[name] = offset
-        self._offsets.move_to_end(name)
-        if len(self._offsets) > MAX_OFFSETS:
-            self._offsets.popitem(last=False)
+    def _record_position(self, name: str, position: StorePosition) -> None:
+        self._positions[name] = position
+        self._positions.move_to_end(name)
+        if len(self._positions) > MAX_POSITIONS:
+            self._positions.popitem(last=False)
 
     def _put(self, entry: BackendServer, record: StoreRecord) -> None:
         self._missing.discard(entry.name)
         self._removals.pop(entry.name, None)
         known = self._registered.get(entry.name)
+        effective = self.fleet.servers.get(entry.name)
         if known is not None and known.born > entry.born:
             # Outdated report of an earlier process with the same name.
             return
@@ -163,9 +180,9 @@
             self._on_lost(known)
         self._registered[entry.name] = self.fleet.servers[entry.name] = entry
         if entry.leaving:
-            self._report_departure(entry, record.offset)
+            self._report_departure(entry, record.position)
         self._apply_notices(entry.name)
-        if known == entry:
+        if known == entry and effective == self.fleet.servers[entry.name]:
             return
         self._digest = None
         self._changes.append(record)
@@ -182,7 +199,7 @@
         known = self.fleet.servers.get(name)
         if known is None or known.leaving:
             return
-        if self.notices.table.is_leaving(known, self._offsets.get(name, 0)):
+        if self.notices.table.is_leaving(known, self._positions.get(name, NOWHERE)):
             self.fleet.servers[name] = known._replace(leaving=True)
             logger.info(
                 "backend server %s of %s gave notice that it leaves",
@@ -190,8 +207,8 @@
                 known.service,
             )
 
-    def _report_departure(self, server: BackendServer, offset: int) -> None:
-        self.notices.record(Departure(server.name, server.born, offset))
+    def _report_departure(self, server: BackendServer, position: StorePosition) -> None:
+        self.notices.record(Departure(server.name, server.born, position))
 
     def _remove(self, name: str) -> None:
         known = self.fleet.servers.get(name)
@@ -226,12 +243,14 @@
         del self.fleet.servers[known.name]
         self._registered.pop(known.name, None)
         self._digest = None
-        offset = self._offsets.get(known.name, 0)
+        position = self._positions.get(known.name, NOWHERE)
         # A snapshot that lacks a server proves nothing: it may be out of date.
         removed_at = self._removals.pop(known.name, None)
         if removed_at is not None:
             self._report_departure(known, removed_at)
-        self._changes.append(StoreRecord(offset, known.name, b""))
+        self._changes.append(
+            StoreRecord(int(position.offset), known.name, b"", int(position.era))
+        )
         logger.info("backend server %s of %s is gone", known.name, known.service)
         self._on_lost(known)
 
--- a/wisteriagw/gateway/_update_sender.py
+++ b/wisteriagw/gateway/_update_sender.py
@@ -120,7 +120,7 @@
         if not peers.served_vms:
             return
         read_at = self._context.fleet.follower.read_at
-        era = self._context.eras.era
+        era = self._context.fleet.era
         served = self._tracker.served
         update = FleetUpdate(
             oldest,
@@ -132,7 +132,7 @@
             self._context.configuration.get_age(),
             self._context.fleet.compute_digest(),
             now - read_at,
-            tuple(tuple(record[:3]) for record in changes),
+            tuple(tuple(record[:3]) for record in changes if record.era == era),
             tuple(self._members.list_ages(now, self._is_ready())) if list_due else (),
             tuple(self._context.work.sum_work(now)),
             *deltas,
--- a/wisteriagw/messages/_server_notices.py
+++ b/wisteriagw/messages/_server_notices.py
@@ -14,8 +14,8 @@
     Attributes
     ----------
     departures : tuple
-        Rows of backend server, its start time, offset in the register up to which it
-        is leaving, and seconds since the notice.
+        Rows of backend server, its start time, position in the register up to which
+        it is leaving as a number, and seconds since the notice.
     pauses : tuple
         Rows of backend server, its start time, seconds for which it wants no requests,
         and seconds since the notice.
--- a/wisteriagw/notices/_application.py
+++ b/wisteriagw/notices/_application.py
@@ -40,9 +40,9 @@
 def _(
     notice: Departure, condition: ServerCondition, at: float, delay: float
 ) -> ServerCondition:
-    if notice.offset <= condition.left_offset:
+    if notice.position <= condition.left_position:
         return condition
-    return condition._replace(left_offset=notice.offset, left_at=at)
+    return condition._replace(left_position=notice.position, left_at=at)
 
 
 @apply_notice.register(Pause)
--- a/wisteriagw/notices/_departure.py
+++ b/wisteriagw/notices/_departure.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from wisteriagw.eras import StorePosition
 
 
 class Departure(NamedTuple):
@@ -14,11 +17,11 @@
         Backend server.
     born : int
         Start time of its process.
-    offset : float
-        Offset in the register of the entry or removal that says so; an entry after it
-        is valid again. Infinite if the server said so itself.
+    position : StorePosition
+        Position in the register of the entry or removal that says so; an entry after
+        it is valid again. ``FOREVER`` if the server said so itself.
     """
 
     server: str
     born: int
-    offset: float
+    position: StorePosition
--- a/wisteriagw/notices/_notice_table.py
+++ b/wisteriagw/notices/_notice_table.py
@@ -4,12 +4,14 @@
 
 from typing import TYPE_CHECKING, Any
 
+from wisteriagw.eras import NOWHERE
 from wisteriagw.notices._application import apply_notice
 from wisteriagw.notices._server_condition import ServerCondition
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Mapping
 
+    from wisteriagw.eras import StorePosition
     from wisteriagw.fleet import BackendServer
 
 # Conditions of servers that are no longer registered are kept for this long after their
@@ -49,10 +51,21 @@
             return None
         return condition
 
-    def is_leaving(self, server: BackendServer, offset: float) -> bool:
-        """Return whether an entry of a server at an offset is overruled by a notice."""
+    def is_leaving(self, server: BackendServer, position: StorePosition) -> bool:
+        """Return whether a notice overrules an entry of a server at a position."""
         condition = self.find(server)
-        return condition is not None and condition.left_offset >= offset
+        if condition is None or condition.left_position == NOWHERE:
+            return False
+        return condition.left_position >= position
+
+    def extend_departures(self, last: StorePosition) -> None:
+        """Let the departures of earlier eras overrule entries up to a position.
+
+        An entry that was restored from a copy may be from before the departure.
+        """
+        for name, condition in self._conditions.items():
+            if NOWHERE.era < condition.left_position.era < last.era:
+                self._conditions[name] = condition._replace(left_position=last)
 
     def find_pause(self, server: BackendServer, now: float) -> float:
         """Return the seconds for which a server wants no requests."""
--- a/wisteriagw/notices/_server_condition.py
+++ b/wisteriagw/notices/_server_condition.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple
 
+from wisteriagw.eras import NOWHERE, StorePosition
+
 
 class ServerCondition(NamedTuple):
     """Notices of one process of a backend server, combined.
@@ -12,8 +14,8 @@
     ----------
     born : int
         Start time of the process.
-    left_offset : float
-        Offset in the register up to which the server is leaving.
+    left_position : StorePosition
+        Position in the register up to which the server is leaving.
     left_at : float
         Time of the first notice of that.
     paused_at, paused_until : float
@@ -24,7 +26,7 @@
     """
 
     born: int
-    left_offset: float = -1.0
+    left_position: StorePosition = NOWHERE
     left_at: float = 0.0
     paused_at: float = 0.0
     paused_until: float = float("-inf")
--- a/wisteriagw/platform/_server_notices.py
+++ b/wisteriagw/platform/_server_notices.py
@@ -5,6 +5,7 @@
 import re
 from typing import TYPE_CHECKING, Any
 
+from wisteriagw.eras import FOREVER
 from wisteriagw.notices import Departure, Pause, RateLimit
 from wisteriagw.platform._responses import REQUEST_ID
 
@@ -32,7 +33,7 @@
     if head.find_header(REQUEST_ID) != request_id:
         return notices
     if head.find_header(SERVER_LEAVING) == LEAVING:
-        notices.append(Departure(server.name, server.born, float("inf")))
+        notices.append(Departure(server.name, server.born, FOREVER))
     if head.status == UNAVAILABLE:
         seconds = parse_decimal(head.find_header(RETRY_AFTER))
         if seconds:
