Let a holder of the authority that missed records read the newest ones

Cause: after a read of records that are gone the controller had no position. It held the authority, so it neither read again nor paused, and its loop never returned to the reactor. It was written for a challenger, which pauses. Any loss of history behind the holder's back leads there, not only a restore.

Change: the read goes on with the newest records at once, as the other followers do. The test fails before with "the process does not return to its loop"; the clock of the tests notices a process that never waits.

--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -13,6 +13,8 @@
 from wisteriagw.standins import TopicStore
 
 TERM = 3.0
+# Reads of a clock at one moment; a process that never waits exceeds them.
+MAX_READS = 10_000
 
 
 class TestDecisions:
@@ -53,9 +55,16 @@
         self._clock = clock
         self._held = []
         self.paused = False
+        self._read_at = 0.0
+        self._reads = 0
 
     def seconds(self) -> float:
-        return self._clock.seconds()
+        now = self._clock.seconds()
+        self._reads = self._reads + 1 if now == self._read_at else 0
+        self._read_at = now
+        if self._reads > MAX_READS:
+            raise AssertionError("the process does not return to its loop")
+        return now
 
     def callLater(self, delay, function, *arguments):
         def call() -> None:
@@ -168,6 +177,20 @@
         processes.advance(4.0)
         assert processes.acted
 
+    def test_holder_that_missed_records_does_not_block_its_process(self) -> None:
+        processes = Processes(1)
+        processes.advance(2.0)
+        number = processes.acted[-1][2]
+        # A renewal without an answer makes the holder read, and its offset is gone.
+        processes.store.lost_replies = 1
+        processes.advance(1.0)
+        processes.store.truncate(AUTHORITY_TOPIC)
+        processes.store.restore({AUTHORITY_TOPIC: 1})
+        processes.store.lost_replies = 1
+        processes.advance(10.0)
+        assert processes.acted[-1][0] > processes.clock.seconds() - 1.0
+        assert processes.acted[-1][2] >= number
+
     def test_late_renewal_is_refused_after_a_claim(self) -> None:
         processes = Processes(2)
         processes.advance(2.0)
--- a/wisteriagw/gateway/_authority_controller.py
+++ b/wisteriagw/gateway/_authority_controller.py
@@ -132,8 +132,8 @@
             wait = self._get_wait()
             page = await self._store.read(AUTHORITY_TOPIC, self._next, wait)
         if not page.complete:
-            self._next = None
-            return
+            # The process must go on with a position: a holder does not wait without one.
+            page = await self._store.read_newest(AUTHORITY_TOPIC)
         self._next = page.next_position
         for record in page.records:
             self._apply_record(record)
