Number the claims of the authority by era and offset

Cause: the number was counted from the newest claim in the log. A claim that was lost with the copy is counted once more by the next holder. The same cause let a holder go on with a number that a lost claim had already followed, and a process claim at once where a lost claim may still be acted on.

Change: the number of a claim is its position in the store, the era before the offset, so it is unique without knowing other claims. A grant of an earlier era is held by nobody, also not by its own process; it and an empty topic are waited out like a holder that has stopped renewing. A renewal that a restored log accepts late, at an offset that came round again, is known by its lower number. The platform's token is the same number; old records count as those of era 0.

Ruled out: waiting longer before a claim does not help, because the lost claim is known to nobody.

--- a/wisteriagw/authority/__init__.py
+++ b/wisteriagw/authority/__init__.py
@@ -4,6 +4,19 @@
 
 from wisteriagw.authority._authority_step import AuthorityStep
 from wisteriagw.authority._decisions import compute_term_end, decide_step
-from wisteriagw.authority._grant import Grant
+from wisteriagw.authority._grant import (
+    NOBODY,
+    Grant,
+    build_claim,
+    revoke_earlier_era,
+)
 
-__all__ = ["AuthorityStep", "Grant", "compute_term_end", "decide_step"]
+__all__ = [
+    "AuthorityStep",
+    "Grant",
+    "NOBODY",
+    "build_claim",
+    "compute_term_end",
+    "decide_step",
+    "revoke_earlier_era",
+]
--- a/wisteriagw/authority/_decisions.py
+++ b/wisteriagw/authority/_decisions.py
@@ -30,26 +30,30 @@
     unchanged_since: float,
     term: float,
     now: float,
+    known_free: bool = True,
 ) -> AuthorityStep:
     """Return the next step.
 
     Parameters
     ----------
     grant : Grant or None
-        Newest record, None if there is none.
+        Newest record, None if there is none or it was lost.
     incarnation : str
         Identity of this process.
     unchanged_since : float
-        When the newest record was first seen; for the holder, when its append was sent.
+        When the newest record, or its absence, was first seen; for the holder, when its
+        append was sent.
     term : float
         Seconds for which an append is valid.
     now : float
         Time of the decision.
+    known_free : bool
+        Whether no process can hold the authority if there is no record.
     """
-    if grant is None:
+    if grant is None and known_free:
         return AuthorityStep.CLAIM
     elapsed = now - unchanged_since
-    if grant.incarnation == incarnation:
+    if grant is not None and grant.incarnation == incarnation:
         return (
             AuthorityStep.RENEW
             if elapsed >= RENEW_FRACTION * term
--- a/wisteriagw/gateway/_authority_controller.py
+++ b/wisteriagw/gateway/_authority_controller.py
@@ -8,7 +8,15 @@
 
 from twisted.internet.task import deferLater
 
-from wisteriagw.authority import AuthorityStep, Grant, compute_term_end, decide_step
+from wisteriagw.authority import (
+    NOBODY,
+    AuthorityStep,
+    Grant,
+    build_claim,
+    compute_term_end,
+    decide_step,
+    revoke_earlier_era,
+)
 from wisteriagw.gateway._background import start_background
 from wisteriagw.jsondata import load_record
 from wisteriagw.platform import (
@@ -55,6 +63,7 @@
         incarnation: str,
         term: float,
         list_vms: Callable[[], list[str]],
+        first_start: bool = True,
     ) -> None:
         self.stopping = False
         self._reactor = reactor
@@ -68,6 +77,9 @@
         self._term_ends_at = float("-inf")
         self._next: StorePosition | None = None
         self._running: Deferred[None] | None = None
+        # A record that is missing later was lost, and its holder may still act.
+        self._known_free = first_start
+        store.eras.subscribe(self._handle_restore)
 
     def start(self) -> None:
         """Follow the authority, and claim or renew it, until ``stop``."""
@@ -132,7 +144,7 @@
             wait = self._get_wait()
             page = await self._store.read(AUTHORITY_TOPIC, self._next, wait)
         if not page.complete:
-            # The process must go on with a position: a holder does not wait without one.
+            # A holder without a position would neither read nor wait.
             page = await self._store.read_newest(AUTHORITY_TOPIC)
         self._next = page.next_position
         for record in page.records:
@@ -152,12 +164,26 @@
             grant = decode_grant(record.value)
         except ValueError as error:
             logger.warning(
-                "authority record at offset %d is invalid: %s", record.offset, error
+                "authority record at %s is invalid: %s", record.position, error
             )
             return
+        grant = revoke_earlier_era(grant, record.era)
         if grant == self._grant:
             return
-        if self._grant is None or grant.incarnation != self._grant.incarnation:
+        if self._grant and grant.fencing_number < self._grant.fencing_number:
+            # A late renewal whose expected offset was given out again.
+            logger.warning(
+                "authority record at %s is from an earlier era", record.position
+            )
+            return
+        if grant.incarnation == NOBODY:
+            logger.info(
+                "VM %s held the authority with number %d before the restore",
+                grant.vm,
+                grant.fencing_number,
+            )
+        elif self._grant is None or grant.incarnation != self._grant.incarnation:
+            self._store.eras.record_settled()
             logger.info(
                 "VM %s holds the authority with number %d",
                 grant.vm,
@@ -171,7 +197,12 @@
             return
         now = self._reactor.seconds()
         step = decide_step(
-            self._grant, self._incarnation, self._unchanged_since, self._term, now
+            self._grant,
+            self._incarnation,
+            self._unchanged_since,
+            self._term,
+            now,
+            self._known_free,
         )
         if step is AuthorityStep.WAIT:
             if self._holds():
@@ -193,8 +224,14 @@
     def _build_grant(self, step: AuthorityStep) -> Grant:
         if step is AuthorityStep.RENEW:
             return self._grant._replace(renewal=self._grant.renewal + 1)
-        number = 0 if self._grant is None else self._grant.fencing_number
-        return Grant(self._vm, self._incarnation, number + 1)
+        return build_claim(self._vm, self._incarnation, self._next, self._grant)
+
+    def _handle_restore(self) -> None:
+        # A claim that was lost may have been followed by others, which are lost too.
+        self._grant = self._next = None
+        self._known_free = False
+        self._term_ends_at = float("-inf")
+        self._unchanged_since = self._reactor.seconds()
 
 
 def decode_grant(data: bytes) -> Grant:
--- a/wisteriagw/gateway/_authority_duties.py
+++ b/wisteriagw/gateway/_authority_duties.py
@@ -49,6 +49,7 @@
             incarnation,
             settings.lease_seconds,
             lambda: members.list_alive(reactor.seconds()),
+            settings.first_start,
         )
         self._scaler = Scaler(
             reactor, client, self._authority, context.configuration, context.fleet
