Report no window anew whose seal may have been lost with the store's copy

Cause: that a window's figures are fixed is known from a record of the usage topic alone. The platform cannot be asked.

A window that ended before is not sealed anew; figures that this process or the store still has are repeated unchanged. After a restore the reporter reads the topic of the new era from its start and forgets only what is not sealed.

Evidence: test_window_whose_seal_was_lost_is_not_reported_with_other_counts fails before (window 0 is sent with 6 and then 3 requests).

--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -136,6 +136,7 @@
             incarnation,
             TERM,
             lambda: ["vm-0", "vm-1", "vm-2"],
+            clock.seconds,
         )
         self.clocks.append(clock)
         self.controllers.append((index, controller))
--- a/tests/test_gateway_feeds.py
+++ b/tests/test_gateway_feeds.py
@@ -536,6 +536,10 @@
     """Authority whose fencing number is set by the test."""
 
     number: int | None = 1
+    era_seen_at = float("-inf")
+
+    def get_era_seen_at(self) -> float:
+        return self.era_seen_at
 
     def get_fencing_number(self) -> int | None:
         return self.number
@@ -605,6 +609,38 @@
         self.run_cycle(self.build(store, {"b": {"t": 50}}))
         assert self.duties.reports == [(0, {"t": 2})]
 
+    def test_window_whose_seal_was_lost_is_not_reported_with_other_counts(self) -> None:
+        store = TopicStore()
+        for vm in ("vm-1", "vm-2"):
+            store.put(USAGE_TOPIC, "", encode_counts(vm, vm, {0: {"t": 3}}))
+        self.now = 7.0
+        self.run_cycle(self.build(store))
+        assert self.duties.reports == [(0, {"t": 6})]
+        store.restore({USAGE_TOPIC: 1})
+        reporter = self.build(store)
+        self.authority.era_seen_at = 9.0
+        for vm in ("vm-1", "vm-2"):
+            store.put(USAGE_TOPIC, "", encode_counts(vm, vm, {1: {"t": 5}}))
+        self.now = 18.0
+        self.run_cycle(reporter)
+        # The next window ended after the new era had begun.
+        assert self.duties.reports == [(1, {"t": 10})]
+
+    def test_holder_that_sealed_a_window_repeats_its_counts_after_a_restore(
+        self,
+    ) -> None:
+        store = TopicStore()
+        for vm in ("vm-1", "vm-2"):
+            store.put(USAGE_TOPIC, "", encode_counts(vm, vm, {0: {"t": 3}}))
+        self.now = 7.0
+        reporter = self.build(store)
+        self.duties.outcomes = [MayHaveRun("lost")]
+        self.run_cycle(reporter)
+        store.restore({USAGE_TOPIC: 1})
+        self.authority.era_seen_at = 9.0
+        self.run_cycle(reporter)
+        assert self.duties.reports == [(0, {"t": 6}), (0, {"t": 6})]
+
     def test_without_the_authority_nothing_is_sent(self) -> None:
         store = TopicStore()
         store.put(USAGE_TOPIC, "", encode_seal(0, {"t": 2}))
--- a/wisteriagw/gateway/_authority_controller.py
+++ b/wisteriagw/gateway/_authority_controller.py
@@ -4,7 +4,7 @@
 
 import json
 import logging
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from twisted.internet.task import deferLater
 
@@ -17,6 +17,7 @@
     decide_step,
     revoke_earlier_era,
 )
+from wisteriagw.eras import EraStart
 from wisteriagw.gateway._background import start_background
 from wisteriagw.jsondata import load_record
 from wisteriagw.platform import (
@@ -37,6 +38,7 @@
 logger = logging.getLogger(__name__)
 
 AUTHORITY_KEY = "fleet"
+ERA_KEY = "era"
 # Fractions of the term from one read to the next. The first challengers detect a holder
 # that stopped renewing soon after its term ends; the others are their fallback.
 WAIT_FRACTION = 0.35
@@ -63,6 +65,7 @@
         incarnation: str,
         term: float,
         list_vms: Callable[[], list[str]],
+        wall_clock: Callable[[], float],
         first_start: bool = True,
     ) -> None:
         self.stopping = False
@@ -72,7 +75,9 @@
         self._incarnation = incarnation
         self._term = term
         self._list_vms = list_vms
+        self._wall_clock = wall_clock
         self._grant: Grant | None = None
+        self._era_start: EraStart | None = None
         self._unchanged_since = reactor.seconds()
         self._term_ends_at = float("-inf")
         self._next: StorePosition | None = None
@@ -99,6 +104,14 @@
             return None
         return self._grant.fencing_number
 
+    def get_era_seen_at(self) -> float:
+        """Return the wall-clock time from which the store has lost no record.
+
+        Infinite while that is not known.
+        """
+        start = self._era_start
+        return float("inf") if start is None else start.seen_at
+
     async def _run(self) -> None:
         behind = True
         while True:
@@ -158,6 +171,8 @@
         return grant is not None and grant.incarnation == self._incarnation
 
     def _apply_record(self, record: StoreRecord) -> None:
+        if record.key == ERA_KEY:
+            self._apply_era_start(record)
         if record.key != AUTHORITY_KEY:
             return
         try:
@@ -192,6 +207,15 @@
         self._grant = grant
         self._unchanged_since = self._reactor.seconds()
 
+    def _apply_era_start(self, record: StoreRecord) -> None:
+        try:
+            start = load_record(EraStart, record.value)
+        except ValueError as error:
+            logger.warning("start of an era at %s: %s", record.position, error)
+            return
+        if start.era == record.era:
+            self._era_start = start
+
     async def _advance(self) -> None:
         if self.stopping or self._next is None:
             return
@@ -209,12 +233,15 @@
                 await deferLater(self._reactor, STEP_INTERVAL_SECONDS)
             return
         grant = self._build_grant(step)
-        value = json.dumps(grant._asdict()).encode("utf-8")
+        records = [(AUTHORITY_KEY, encode(grant))]
+        start = self._era_start
+        if start is None:
+            start = self._build_era_start()
+            records.append((ERA_KEY, encode(start)))
         sent_at = self._reactor.seconds()
-        position = await self._store.append(
-            AUTHORITY_TOPIC, [(AUTHORITY_KEY, value)], self._next
-        )
-        self._next = position._replace(offset=position.offset + 1)
+        position = await self._store.append(AUTHORITY_TOPIC, records, self._next)
+        self._next = position._replace(offset=position.offset + len(records))
+        self._era_start = start
         if step is AuthorityStep.CLAIM:
             logger.info("holds the authority with number %d", grant.fencing_number)
         self._grant = grant
@@ -226,14 +253,24 @@
             return self._grant._replace(renewal=self._grant.renewal + 1)
         return build_claim(self._vm, self._incarnation, self._next, self._grant)
 
+    def _build_era_start(self) -> EraStart:
+        eras = self._store.eras
+        age = self._reactor.seconds() - eras.seen_at
+        return EraStart(int(self._next.era), self._wall_clock() - age)
+
     def _handle_restore(self) -> None:
         # A claim that was lost may have been followed by others, which are lost too.
-        self._grant = self._next = None
+        self._grant = self._next = self._era_start = None
         self._known_free = False
         self._term_ends_at = float("-inf")
         self._unchanged_since = self._reactor.seconds()
 
 
+def encode(value: NamedTuple) -> bytes:
+    """Return the record of a value with plain fields."""
+    return json.dumps(value._asdict()).encode("utf-8")
+
+
 def decode_grant(data: bytes) -> Grant:
     """Return the grant in a record; raises ValueError if it holds none."""
     return load_record(Grant, data)
--- a/wisteriagw/gateway/_authority_duties.py
+++ b/wisteriagw/gateway/_authority_duties.py
@@ -49,6 +49,7 @@
             incarnation,
             settings.lease_seconds,
             lambda: members.list_alive(reactor.seconds()),
+            wall_clock,
             settings.first_start,
         )
         self._scaler = Scaler(
--- a/wisteriagw/gateway/_usage_reporter.py
+++ b/wisteriagw/gateway/_usage_reporter.py
@@ -60,6 +60,7 @@
         self._windows = UsageWindows()
         self._next = StorePosition(UNKNOWN_ERA, 0)
         self._reported: set[int] = set()
+        self._skipped: set[int] = set()
 
     async def run_cycle(self) -> None:
         """Seal and report what is due, if this process holds the authority."""
@@ -69,7 +70,12 @@
         if newest in self._reported:
             return
         await self._read_topic()
+        complete_from = self._authority.get_era_seen_at()
         for window in self._windows.list_unsealed(newest):
+            if (window + 1) * self._settings.usage_window <= complete_from:
+                # Its figures may have been sealed and reported, and lost in a restore.
+                self._log_skipped(window)
+                continue
             late = window <= self._find_newest_ended(LATEST_FRACTION)
             if not late and not self._windows.is_complete(window, self._list_vms()):
                 break
@@ -89,11 +95,22 @@
     async def _read_topic(self) -> None:
         while True:
             page = await self._store.read(USAGE_TOPIC, self._next)
+            if page.next_position.era != self._next.era:
+                self._windows.forget_open()
             self._windows.apply_records(page.records)
             self._next = page.next_position
             if page.complete and not page.records:
                 return
 
+    def _log_skipped(self, window: int) -> None:
+        if window not in self._skipped:
+            self._skipped.add(window)
+            logger.warning(
+                "usage of window %d is not reported: it may have been reported before "
+                "the store was restored",
+                window,
+            )
+
     async def _seal(self, window: int) -> bool:
         counts = self._windows.sum_counts(window, self._get_copies(window))
         try:
--- a/wisteriagw/gateway/_usage_windows.py
+++ b/wisteriagw/gateway/_usage_windows.py
@@ -49,6 +49,12 @@
                     "invalid usage record at offset %d: %s", record.offset, error
                 )
 
+    def forget_open(self) -> None:
+        """Forget the windows that are not sealed, to read the topic anew."""
+        self.first = None
+        self._open.clear()
+        self._writers.clear()
+
     def sum_counts(
         self, window: int, copies: Mapping[str, Mapping[str, int]]
     ) -> dict[str, int]:
