Write again what the store accepted and lost with its copy

A VM that registered or left in the lost seconds was unknown to processes that start later, or came back as a member; the counts of a process that had ended, and quarantines, were lost although their writers had an acknowledgement.

Cause: a writer forgets a record once the store has accepted it.

Change: the entry of a VM (or its removal), the copies of ended processes and the quarantines are written once more when the era changes.

Evidence: the five tests of TestRecordsOfThisSystem; all fail before the change.

--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from types import SimpleNamespace
 
 import pytest
 from twisted.internet.defer import Deferred
@@ -11,16 +12,26 @@
 from tests.support._store_calls import StoreCalls
 from wisteriagw.eras import FOREVER, EraTracker, StorePosition
 from wisteriagw.gateway._configuration_feed import ConfigurationFeed
+from wisteriagw.gateway._crashing_parts import CrashingParts
 from wisteriagw.gateway._fleet_feed import FleetFeed
+from wisteriagw.gateway._lost_usage_writer import LostUsageWriter
+from wisteriagw.gateway._member import Member
+from wisteriagw.gateway._members import Members
+from wisteriagw.gateway._quarantine_store import QuarantineStore
+from wisteriagw.gateway._usage_copies import UsageCopies
 from wisteriagw.gateway.notices._rows import decode_rows, encode_rows
 from wisteriagw.notices import Departure
 from wisteriagw.platform import (
     CONFIGURATION_KEY,
     CONFIGURATION_TOPIC,
+    MEMBERS_TOPIC,
+    QUARANTINES_TOPIC,
     REGISTER_TOPIC,
+    USAGE_TOPIC,
     StoreClient,
     StoreRecord,
 )
+from wisteriagw.standins import TopicStore
 
 ADDRESS = ("10.0.0.1", 80)
 WITHDRAWAL_SECONDS = 5.0
@@ -259,6 +270,73 @@
         assert not self.is_usable(feed, "i-1")
 
 
+class TestRecordsOfThisSystem:
+    """A record that was accepted and then lost with the copy was not written again."""
+
+    def list_values(self, store: TopicStore, topic: str) -> list[bytes]:
+        return [record.value for record in store.list_records(topic, 0)]
+
+    def build_members(self, store: TopicStore) -> Members:
+        own = Member("vm-1", "north", "10.0.0.1:80", "10.0.0.1", 7000, "1", 0.5)
+        members = Members(Clock(), store, own)
+        members.register()
+        return members
+
+    def test_entry_of_a_vm(self) -> None:
+        store = TopicStore()
+        self.build_members(store)
+        written = self.list_values(store, MEMBERS_TOPIC)
+        for _ in range(2):
+            store.eras.observe(store.eras.era + 1)
+            store.restore({})
+            assert self.list_values(store, MEMBERS_TOPIC) == written
+
+    def test_removal_of_the_entry_of_a_vm_that_stops(self) -> None:
+        store = TopicStore()
+        members = self.build_members(store)
+        members.leave()
+        store.eras.observe(1)
+        store.restore({MEMBERS_TOPIC: 1})
+        assert self.list_values(store, MEMBERS_TOPIC)[-1] == b""
+
+    def test_usage_of_an_ended_process(self) -> None:
+        store, copies = TopicStore(), UsageCopies()
+        store.eras.observe(1)
+        writer = LostUsageWriter(store, copies)
+        copies.record_counts("vm-2", "b", ((5, "t", 4),), 1.0)
+        for _ in range(2):
+            Deferred.fromCoroutine(writer.run_cycle(9.0))
+            assert len(self.list_values(store, USAGE_TOPIC)) == 1
+            store.restore({})
+
+    def test_quarantine(self) -> None:
+        store, clock = TopicStore(), Clock()
+        store.eras.observe(1)
+        parts = CrashingParts(clock.seconds)
+        for number in range(3):
+            runs = [(("bad",), float(number))]
+            parts.record_crash(f"engine-{number}/1", runs, number + 0.5)
+            clock.advance(1.0)
+        quarantines = QuarantineStore(clock, store, parts, clock.seconds)
+        holder = SimpleNamespace(get_fencing_number=lambda: 1)
+        for _ in range(2):
+            Deferred.fromCoroutine(quarantines.write(holder))
+            assert len(self.list_values(store, QUARANTINES_TOPIC)) == 1
+            store.restore({})
+
+    def test_vm_that_is_alive_stays_a_member_until_it_has_written_again(self) -> None:
+        store = TopicStore()
+        store.eras.observe(1)
+        members = self.build_members(store)
+        for vm in ("vm-2", "vm-3"):
+            entry = members._own._replace(vm=vm)
+            value = json.dumps(entry._asdict()).encode()
+            members._apply_records((StoreRecord(1, vm, value),))
+        members.record_seen("vm-2", True, 0.0)
+        members._apply_snapshot(())
+        assert sorted(members.entries) == ["vm-1", "vm-2"]
+
+
 class TestStoreEra:
     """An answer from before a restore, or an odd header, must do no harm."""
 
--- a/wisteriagw/gateway/_lost_usage_writer.py
+++ b/wisteriagw/gateway/_lost_usage_writer.py
@@ -22,6 +22,7 @@
         self._store = store
         self._copies = copies
         self._pending: list[bytes] = []
+        store.eras.subscribe(copies.record_lost)
 
     async def run_cycle(self, now: float) -> None:
         """Append pending copies; those that the store refuses are retried next time."""
--- a/wisteriagw/gateway/_members.py
+++ b/wisteriagw/gateway/_members.py
@@ -57,6 +57,8 @@
         self._last_seen: dict[str, tuple[float, bool]] = {}
         self._started_at: dict[str, float] = {}
         self._writing: Deferred[None] | None = None
+        self._written = b""
+        store.eras.subscribe(self._write_again)
         self.follower = TopicFollower(
             reactor,
             store,
@@ -125,7 +127,12 @@
             RELAY_READ_INTERVAL_SECONDS if is_relay else MIN_READ_INTERVAL_SECONDS
         )
 
+    def _write_again(self) -> None:
+        # The store may have lost the entry, or its removal, after it was accepted.
+        self._write(self._written)
+
     def _write(self, value: bytes) -> None:
+        self._written = value
         if self._writing is not None:
             self._writing.cancel()
         self._writing = Deferred.fromCoroutine(self._write_entry(value))
@@ -143,8 +150,10 @@
 
     def _apply_snapshot(self, records: tuple[StoreRecord, ...]) -> None:
         present = {record.key for record in records if record.value}
+        # A VM that is alive writes its entry again if the store has lost it.
+        present.update(self.list_alive(self._reactor.seconds()))
         for vm in list(self.entries):
-            if vm not in present and vm != self._own.vm:
+            if vm not in present:
                 del self.entries[vm]
         self._apply_records(records)
 
--- a/wisteriagw/gateway/_quarantine_store.py
+++ b/wisteriagw/gateway/_quarantine_store.py
@@ -48,6 +48,7 @@
         self._crashing_parts = crashing_parts
         self._wall_clock = wall_clock
         self._written: frozenset[tuple[str, ...]] = frozenset()
+        store.eras.subscribe(self._handle_restore)
 
     def start(self) -> None:
         """Read the quarantines in the background."""
@@ -87,6 +88,9 @@
         await self._store.append(QUARANTINES_TOPIC, [(RECORD_KEY, value)])
         self._written = current
 
+    def _handle_restore(self) -> None:
+        self._written = frozenset()
+
     def _adopt(self, value: bytes) -> None:
         now = self._wall_clock()
         try:
--- a/wisteriagw/gateway/_usage_copies.py
+++ b/wisteriagw/gateway/_usage_copies.py
@@ -59,6 +59,11 @@
                 lost.append(copy)
         return lost
 
+    def record_lost(self) -> None:
+        """Record that copies which were returned for writing may not be stored."""
+        for copy in self._copies.values():
+            copy.changed = True
+
     def prune(self, window: int) -> None:
         """Drop windows that are more than ``KEPT_WINDOWS`` before a window."""
         for incarnation, copy in list(self._copies.items()):
