--- a/tests/soak/_fault_injector.py
+++ b/tests/soak/_fault_injector.py
@@ -27,6 +27,7 @@
     "configuration",
 )
 MAX_FAULT_SECONDS = 3.0
+MAX_COPY_AGE_SECONDS = 10.0
 PUBLISH_RETRY_SECONDS = 0.2
 
 
@@ -89,6 +90,17 @@
         else:
             await self._inject_platform_fault(kind, random, seconds)
 
+    async def restore_store(self, within: float) -> None:
+        """Let the store come back older at a random time, after a short outage."""
+        random = self._fleet.restore_random
+        await deferLater(self._reactor, random.uniform(0.0, within))
+        seconds = random.uniform(0.3, MAX_FAULT_SECONDS)
+        age = random.uniform(seconds, MAX_COPY_AGE_SECONDS)
+        self.history.append(f"restore {age:.1f} {seconds:.1f}")
+        await self.set_faults(down=True)
+        await deferLater(self._reactor, seconds)
+        await self.set_faults(restore=age, down=False)
+
     async def _inject_proxy_fault(self, kind: str, vm: str, seconds: float) -> None:
         proxy = self._fleet.proxies[vm]
         if kind == "reset":
--- a/tests/soak/_fleet.py
+++ b/tests/soak/_fleet.py
@@ -85,10 +85,11 @@
     def __init__(self, reactor, folder: pathlib.Path, vms: int, seed: int) -> None:
         self.reactor = reactor
         self.folder = folder
-        # Faults have a random generator of their own, so that a seed gives the same
-        # faults whatever the callers draw.
+        # Faults have random generators of their own, so that a seed gives the same
+        # faults whatever the callers draw and whether the store is restored.
         self.fault_random = random.Random(seed)
         self.random = random.Random(seed + 1)
+        self.restore_random = random.Random(seed + 2)
         self.closing = False
         self.children: dict[str, ChildProcess] = {}
         self.log = (folder / "log.jsonl").open("wb")
