Know a request that crashes servers by its target, customer and body

Cause: a quarantine knew a request by the shared parts of its prompt alone. A request without a prompt has none, and the last part, its own, was left out on purpose. The lost runs of plain servers were recorded with nothing to compare.

Change: the fingerprint of a request (target, customer and body, no header) is tracked like one more part, through the same reports, search, quarantine and store. A sound answer counts for a fingerprint only while it is suspect, so that ordinary requests do not fill the memory. It is computed only for lost runs and while there are suspects or quarantines.

Ruled out: a quarantine for all requests of the route, which would refuse sound ones.

--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -260,10 +260,11 @@
             fleet.advance(1.0)
 
     def list_quarantined(self, fleet: SimulatedFleet, prompt: Prompt) -> set[str]:
+        parts = prompt.list_shared_parts()
         return {
             vm
             for vm, gateway in fleet.gateways.items()
-            if gateway.crashing_parts.find_quarantine(prompt) is not None
+            if gateway.crashing_parts.find_quarantine(parts) is not None
         }
 
     def test_every_vm_refuses_the_part_after_crashes_on_three(self) -> None:
@@ -352,9 +353,9 @@
         store, clock = self.write_quarantine()
         parts, quarantines = self.build(store, clock, origin=self.BOOT_SECONDS)
         self.run(quarantines.read())
-        assert parts.find_quarantine(self.PROMPT) is not None
+        assert parts.find_quarantine(self.PROMPT.list_shared_parts()) is not None
         clock.advance(60.0)
-        assert parts.find_quarantine(self.PROMPT) is None
+        assert parts.find_quarantine(self.PROMPT.list_shared_parts()) is None
 
     def test_store_that_is_down_is_read_again(self) -> None:
         store, clock = self.write_quarantine()
@@ -364,7 +365,7 @@
         clock.advance(READ_RETRY_SECONDS)
         store.down = False
         clock.advance(READ_RETRY_SECONDS)
-        assert parts.find_quarantine(self.PROMPT) is not None
+        assert parts.find_quarantine(self.PROMPT.list_shared_parts()) is not None
 
     def test_only_the_holder_writes_and_only_changes(self) -> None:
         store, clock = TopicStore(), Clock()
@@ -383,4 +384,4 @@
         store.put(QUARANTINES_TOPIC, "quarantines", value)
         parts, quarantines = self.build(store, clock)
         self.run(quarantines.read())
-        assert parts.find_quarantine(self.PROMPT) is None
+        assert parts.find_quarantine(self.PROMPT.list_shared_parts()) is None
--- a/wisteriagw/crashes/__init__.py
+++ b/wisteriagw/crashes/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from wisteriagw.crashes._crash_history import CrashHistory
+from wisteriagw.crashes._fingerprint import compute_fingerprint
 from wisteriagw.crashes._quarantine import Quarantine
 from wisteriagw.crashes._quarantine_list import QuarantineList
 from wisteriagw.crashes._signature import Signature
@@ -13,5 +14,6 @@
     "Quarantine",
     "QuarantineList",
     "Signature",
+    "compute_fingerprint",
     "find_signatures",
 ]
--- a/wisteriagw/crashes/_crash_history.py
+++ b/wisteriagw/crashes/_crash_history.py
@@ -87,6 +87,10 @@
         """Return the time of the last crash a part was open at, or minus infinity."""
         return self._last_crash_at.get(part, NEVER)
 
+    def has_suspects(self) -> bool:
+        """Return whether any part was open at a crash since its last sound answer."""
+        return bool(self._suspects)
+
     def count_crashes(self, part: str) -> int:
         """Return the number of crashes since the part's last sound answer."""
         return len(self._suspects.get(part, ()))
--- a/wisteriagw/gateway/_crashing_parts.py
+++ b/wisteriagw/gateway/_crashing_parts.py
@@ -1,4 +1,4 @@
-"""Prompt parts that crash engines, as known to this VM and its peers."""
+"""Prompt parts and requests that crash servers, as known to this VM and its peers."""
 
 from __future__ import annotations
 
@@ -10,9 +10,7 @@
 from wisteriagw.messages import CrashReports
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
-
-    from wisteriagw.placement import Prompt
+    from collections.abc import Callable, Collection, Iterable
 
 logger = logging.getLogger(__name__)
 
@@ -25,6 +23,9 @@
 class CrashingParts:
     """Combines crashes and sound answers of all VMs into quarantines.
 
+    The parts of a request are those of its prompt that others may share, and its
+    fingerprint.
+
     Each VM decides by itself from the same reports, so no request waits for another VM.
     Reports may be lost: relays repeat the quarantines in force.
 
@@ -49,23 +50,33 @@
         self._quarantines = QuarantineList()
         self._told_at: dict[str, float] = {}
 
-    def find_quarantine(self, prompt: Prompt | None) -> Quarantine | None:
-        """Return the quarantine in force for a prompt, or None."""
-        if prompt is None or not self._quarantines.entries:
-            return None
-        return self._quarantines.find(prompt.list_shared_parts(), self._clock())
+    def has_quarantines(self) -> bool:
+        """Return whether any request may be refused."""
+        return bool(self._quarantines.entries)
+
+    def has_suspects(self) -> bool:
+        """Return whether any part was open at a crash since its last sound answer."""
+        return self._history.has_suspects()
+
+    def is_suspect(self, part: str) -> bool:
+        """Return whether a part was open at a crash since its last sound answer."""
+        return self._history.count_crashes(part) > 0
+
+    def find_quarantine(self, parts: Collection[str]) -> Quarantine | None:
+        """Return the quarantine in force for the parts of a request, or None."""
+        return self._quarantines.find(parts, self._clock())
 
     def record_crash(
         self, crash: str, runs: Iterable[tuple[tuple[str, ...], float]], at: float
     ) -> None:
-        """Record the prompts that were open when an engine ended.
+        """Record the requests that were open when a server ended.
 
         Parameters
         ----------
         crash : str
             Name of the crash; the same on all VMs.
         runs : iterable of tuple
-            Parts of each prompt, and the time at which it was sent to the engine.
+            Parts of each request, and the time at which it was sent to the server.
         at : float
             Time of the crash in seconds.
         """
--- a/wisteriagw/gateway/_lost_run.py
+++ b/wisteriagw/gateway/_lost_run.py
@@ -18,7 +18,7 @@
     came_at : float
         Time at which it was sent to the engine, in seconds.
     parts : tuple of str
-        Parts of the prompt that other requests may share.
+        Parts of the prompt that other requests may share, and the fingerprint.
     sound : bool
         Whether the engine ran on after it had begun the answer.
     """
--- a/wisteriagw/gateway/_server_access.py
+++ b/wisteriagw/gateway/_server_access.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import math
+from functools import cached_property
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import Deferred, TimeoutError
 
+from wisteriagw.crashes import compute_fingerprint
 from wisteriagw.gateway._lost_run import LostRun
 from wisteriagw.gateway.notices import RequestNotices
 from wisteriagw.outcomes import RefusedNotRun
@@ -142,8 +144,10 @@
         return True
 
     def find_quarantine(self) -> RefusedNotRun | None:
-        """Return the refusal of a prompt whose parts crash engines, or None."""
-        quarantine = self.context.crashing_parts.find_quarantine(self.caller.prompt)
+        """Return the refusal of a request whose parts crash servers, or None."""
+        if not self.context.crashing_parts.has_quarantines():
+            return None
+        quarantine = self.context.crashing_parts.find_quarantine(self._list_parts())
         if quarantine is None:
             return None
         parts = sorted(quarantine.parts)
@@ -156,7 +160,7 @@
             age=round(quarantine.seconds - left, 3),
             seconds_left=round(left, 3),
         )
-        message = f"engines ended under the prompt parts {', '.join(parts)}"
+        message = f"servers ended under requests with {', '.join(parts)}"
         return RefusedNotRun("crashing_prompt", message, left)
 
     def explain_no_server(self, excluded: tuple[str, ...]) -> RefusedNotRun | None:
@@ -269,10 +273,15 @@
         self.context.pending_updates.add_parts(server, new_parts)
 
     def record_sound_answer(self) -> None:
-        """Record that an engine ran on after it had begun the answer."""
+        """Record that a server ran on after it had begun the answer."""
+        crashing_parts = self.context.crashing_parts
         if self.caller.prompt is not None:
-            parts = self.caller.prompt.list_shared_parts()
-            self.context.crashing_parts.record_sound_answer(parts)
+            crashing_parts.record_sound_answer(self.caller.prompt.list_shared_parts())
+        # The sound answers of all other requests would be too many to keep.
+        if crashing_parts.has_suspects() and crashing_parts.is_suspect(
+            self._fingerprint
+        ):
+            crashing_parts.record_sound_answer((self._fingerprint,))
 
     def record_loss(
         self,
@@ -283,12 +292,22 @@
         sound: bool = False,
     ) -> None:
         """Record that the answer of a server was lost with its connection."""
-        prompt = self.caller.prompt
-        parts = () if prompt is None else prompt.list_shared_parts()
+        parts = self._list_parts()
         run = LostRun(self.caller.request_id, progress, came_at, parts, sound)
         self.context.crash_detector.record_loss(server, run)
         self.record_failure(server, reason, progress=progress, parts=parts)
 
+    @cached_property
+    def _fingerprint(self) -> str:
+        customer = "" if self.customer is None else self.customer.name
+        request = self._request
+        return compute_fingerprint(request.target, customer, request.body)
+
+    def _list_parts(self) -> tuple[str, ...]:
+        prompt = self.caller.prompt
+        shared = () if prompt is None else prompt.list_shared_parts()
+        return (*shared, self._fingerprint)
+
     def record_failure(self, server: str, reason: str, **details: Any) -> None:
         """Record that a server failed or refused the request."""
         now = self.context.reactor.seconds()
