--- a/wisteriagw/gateway/_topic_follower.py
+++ b/wisteriagw/gateway/_topic_follower.py
@@ -180,8 +180,8 @@
             self._at_tip = True
             return
         # A read that is sent during an outage is never answered: while the store is
-        # unavailable each read is short, so that its return is noticed. After a read that
-        # does not count the next one is short too.
+        # unavailable each read is short, so that its return is noticed. The one after a
+        # read that does not count is short too.
         wait = self.wait if self.available and self._counted else 0.0
         page = await self._store.read(self.topic, self.position, wait)
         if not page.complete:
