--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -28,6 +28,7 @@
     QUARANTINES_TOPIC,
     REGISTER_TOPIC,
     USAGE_TOPIC,
+    AppendConflictError,
     StoreClient,
     StoreRecord,
 )
@@ -374,6 +375,25 @@
         assert not self.failures
         assert store.eras.era == 3
 
+    def test_conditional_append_at_an_offset_that_came_round_again_is_a_conflict(
+        self,
+    ) -> None:
+        clock = Clock()
+        calls = StoreCalls(clock)
+        for value in (b"a", b"b"):
+            calls.server.put("keyed.x", "k", value)
+        store = build_client(clock, calls)
+        pages, failures = [], []
+        Deferred.fromCoroutine(store.read_newest("keyed.x")).addCallback(pages.append)
+        advance(clock, 0.1)
+        calls.server.restore(100.0)
+        for value in (b"c", b"d"):
+            calls.server.put("keyed.x", "k", value)
+        append = store.append("keyed.x", [("k", b"e")], pages[0].next_position)
+        Deferred.fromCoroutine(append).addErrback(failures.append)
+        advance(clock, 0.1)
+        assert failures[0].check(AppendConflictError)
+
     def test_missing_header_names_no_era(self) -> None:
         store = self.send(((b"store-era", b"3"),))
         self.send((), store)
