--- /dev/null
+++ b/review/support/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and clients of the review's scripts, with the standard library only."""
--- /dev/null
+++ b/review/support/worker.py
@@ -0,0 +1,150 @@
+"""A worker: a program that serves calls and streams and tells what it ran.
+
+It writes one JSON line for each thing that it does, with the time of the monotonic
+clock, which all processes of a machine share.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import socket
+import struct
+import time
+from typing import TYPE_CHECKING
+
+from review.support.wire import encode_answer, read_request
+
+if TYPE_CHECKING:
+    from review.support.wire import Request
+
+CALL_SECONDS = 0.045
+# A close with this option resets the channel.
+RESET = struct.pack("ii", 1, 0)
+
+
+class Worker:
+    """Runs requests one at a time on each channel, many channels at once."""
+
+    def __init__(self, options: argparse.Namespace) -> None:
+        self._options = options
+        self._resets_left = options.resets
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve a channel until it is closed."""
+        try:
+            while True:
+                request = await read_request(reader)
+                if request is None or not await self._answer(request, writer):
+                    break
+        except (OSError, EOFError):
+            # The caller has gone.
+            pass
+        finally:
+            writer.close()
+
+    async def _answer(self, request: Request, writer: asyncio.StreamWriter) -> bool:
+        """Answer a request; return whether the channel is kept."""
+        headers, name = request.headers, self._options.name
+        request_id = headers.get("x-wisteriagw-request-id", "")
+        if request.path in ("/health", "/report", "/order", "/kv-list"):
+            self._tell("call", request_id, path=request.path)
+            body = b'{"held":[],"epoch":1,"next_token":0}'
+            writer.write(encode_answer(200, body, {"X-Wisteriagw-Instance-Id": name}))
+            return True
+        echo = {"X-Wisteriagw-Request-Id": request_id}
+        if headers.get("x-wisteriagw-expect-instance") != name:
+            writer.write(encode_answer(421, b"", echo))
+            return True
+        echo["X-Wisteriagw-Server-Stamp"] = f"{name}.{request_id}"
+        if headers.get("x-wisteriagw-model"):
+            return await self._stream(request, writer, echo)
+        self._tell("begins", request_id)
+        await asyncio.sleep(CALL_SECONDS)
+        self._tell("ends", request_id)
+        writer.write(encode_answer(200, f"done {request_id}".encode(), echo))
+        return True
+
+    async def _stream(
+        self, request: Request, writer: asyncio.StreamWriter, echo: dict[str, str]
+    ) -> bool:
+        """Write the events of a stream; return whether the channel is kept."""
+        options, headers = self._options, request.headers
+        request_id = headers["x-wisteriagw-request-id"]
+        first = int(headers.get("last-event-id", 0)) + 1
+        source = headers.get("x-wisteriagw-kv-source", "")
+        self._tell("begins", request_id, first=first, source=source)
+        chunked = not options.unframed
+        lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
+        lines += [f"{key}: {value}" for key, value in echo.items()]
+        lines.append("Transfer-Encoding: chunked" if chunked else "Connection: close")
+        writer.write("\r\n".join([*lines, "", ""]).encode())
+        lost = False
+        for number in range(first, options.events + 1):
+            await asyncio.sleep(options.gap)
+            event = f"id: {number}\ndata: {request_id}\n\n".encode()
+            self._tell("event", request_id, number=number, channel=not lost)
+            if lost:
+                continue
+            data = b"%x\r\n%b\r\n" % (len(event), event) if chunked else event
+            writer.write(data)
+            if self._resets_left and number == options.reset_after:
+                # The answer is lost; the run goes on.
+                self._resets_left -= 1
+                lost = True
+                self._reset(writer)
+        self._tell("ends", request_id)
+        if lost:
+            return False
+        if chunked:
+            writer.write(b"0\r\n\r\n")
+        return chunked
+
+    def _reset(self, writer: asyncio.StreamWriter) -> None:
+        connection = writer.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        writer.transport.abort()
+
+    def _tell(self, what: str, request_id: str, **details: object) -> None:
+        line = {
+            "at": round(time.monotonic(), 4),
+            "worker": self._options.name,
+            "what": what,
+            "request": request_id,
+            **details,
+        }
+        print(json.dumps(line), flush=True)
+
+
+async def run(options: argparse.Namespace) -> None:
+    """Serve until the process is killed."""
+    server = await asyncio.start_server(Worker(options).serve, options.host, 0)
+    print(json.dumps({"port": server.sockets[0].getsockname()[1]}), flush=True)
+    async with server:
+        await server.serve_forever()
+
+
+def main() -> None:
+    """Run a worker."""
+    parser = argparse.ArgumentParser(description="A worker of the review's scripts.")
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--events", type=int, default=8)
+    parser.add_argument("--gap", type=float, default=0.1, help="Seconds to an event.")
+    parser.add_argument(
+        "--unframed", action="store_true", help="Streams have no length or chunks."
+    )
+    parser.add_argument(
+        "--resets", type=int, default=0, help="Streams whose channel is reset."
+    )
+    parser.add_argument(
+        "--reset-after", type=int, default=3, help="Events before the reset."
+    )
+    asyncio.run(run(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
