--- a/review/support/gateways.py
+++ b/review/support/gateways.py
@@ -6,6 +6,7 @@
 import os
 import random
 import signal
+import socket
 import tomllib
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -17,6 +18,8 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 READY_SECONDS = 20.0
+METRICS_PORT = 9464
+PORTS = ("front", "ready", "control", "directory", "peers")
 # The figures are those of the site suva-arcade.
 SETTINGS = """
 node_name = "{name}"
@@ -26,7 +29,7 @@
 ip = "{ip}"
 zone = "{zone}"
 region = "viti-levu"
-port_range = [7660, 7675]
+port_range = [{peers}, {peers}]
 seeds = []
 bootstrap = {bootstrap}
 counts_as_loss = false
@@ -36,10 +39,10 @@
 [zones]
 {zones}
 [listen]
-front = "{ip}:8405"
-ready = "{ip}:8406"
-control = "{ip}:8407"
-directory = "{ip}:8404"
+front = "{ip}:{front}"
+ready = "{ip}:{ready}"
+control = "{ip}:{control}"
+directory = "{ip}:{directory}"
 [limits]
 cpu_share = 0.537
 cores = 2
@@ -100,12 +103,37 @@
 """
 
 
+def find_free_ports(ip: str, count: int) -> list[int]:
+    """Return ports on which nothing listens."""
+    sockets = [socket.socket() for _ in range(count)]
+    for found in sockets:
+        found.bind((ip, 0))
+    ports = [found.getsockname()[1] for found in sockets]
+    for found in sockets:
+        found.close()
+    return ports
+
+
+def find_free_prefix(count: int) -> str:
+    """Return the first three parts of loopback addresses whose metrics port is free."""
+    while True:
+        prefix = f"127.{random.randint(64, 250)}.{random.randint(1, 250)}"
+        try:
+            for number in range(1, count + 1):
+                with socket.socket() as probe:
+                    probe.bind((f"{prefix}.{number}", METRICS_PORT))
+        except OSError:
+            continue
+        return prefix
+
+
 class Gateway:
     """One gateway process and its settings."""
 
     def __init__(self, name: str, zone: str, ip: str) -> None:
         self.name, self.zone, self.ip = name, zone, ip
-        self.front = (ip, 8405)
+        self.ports = dict(zip(PORTS, find_free_ports(ip, len(PORTS)), strict=True))
+        self.front = (ip, self.ports["front"])
         self.process: asyncio.subprocess.Process | None = None
 
     def kill(self, number: int = signal.SIGKILL) -> None:
@@ -120,9 +148,9 @@
     def __init__(
         self, folder: Path, platform: Platform, zones: list[str], keep_s: float
     ) -> None:
-        # An address of its own for each machine, as on the platform: the ports are the
-        # same on all of them.
-        prefix = f"127.{random.randint(64, 250)}.{random.randint(1, 250)}"
+        # An address of its own for each machine, as on the platform: the deploy file
+        # names one port of the metrics for all of them.
+        prefix = find_free_prefix(len(zones))
         self.machines = [
             Gateway(f"front-{zone}-{number}", zone, f"{prefix}.{number}")
             for number, zone in enumerate(zones, 1)
@@ -149,6 +177,7 @@
                 ip=machine.ip,
                 zone=machine.zone,
                 bootstrap=str(bootstrap).lower(),
+                **machine.ports,
                 zones="\n".join(f'{zone} = "viti-levu"' for zone in zones),
                 store=f"{host}:{port}",
                 keep_s=self._keep_s,
@@ -176,7 +205,7 @@
         async with asyncio.timeout(READY_SECONDS):
             while True:
                 headers = {"Host": machine.ip}
-                address = (machine.ip, 8406)
+                address = (machine.ip, machine.ports["ready"])
                 answer = await call(address, "GET", "/ready", headers, timeout=1.0)
                 if answer.status == 200:
                     return
