Review case 4: a request that has run is answered 503

Tried: two gateways, four workers, 60 unsafe requests whose consumers send them again once after a promise; one worker fails 0.45 of its requests with an own 503 after it has run them.

--- a/review/support/case.py
+++ b/review/support/case.py
@@ -121,11 +121,10 @@
     """
     with tempfile.TemporaryDirectory(prefix="review-") as folder:
         status, record = asyncio.run(_run(Path(folder), zones, play, keep_s))
-        # A log that shows a traceback belongs to the record.
         for log in sorted(Path(folder).glob("*.log")):
-            for line in log.read_text("utf-8", "replace").splitlines():
-                if "Traceback" in line:
-                    record += f"{log.name}: {line}\n"
+            count = log.read_text("utf-8", "replace").count("Traceback")
+            if count:
+                record += f"{log.name} shows {count} tracebacks\n"
     Path(file).with_name("record.txt").write_text(record, "utf-8")
     sys.stdout.write(record)
     sys.exit(status)
--- a/review/support/worker.py
+++ b/review/support/worker.py
@@ -9,6 +9,7 @@
 import argparse
 import asyncio
 import json
+import random
 import socket
 import struct
 import time
@@ -30,6 +31,7 @@
     def __init__(self, options: argparse.Namespace) -> None:
         self._options = options
         self._resets_left = options.resets
+        self._random = random.Random(options.name)
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -62,9 +64,13 @@
         echo["X-Wisteriagw-Server-Stamp"] = f"{name}.{request_id}"
         if headers.get("x-wisteriagw-model"):
             return await self._stream(request, writer, echo)
-        self._tell("begins", request_id)
+        self._tell("begins", request_id, body=request.body.decode("latin-1"))
         await asyncio.sleep(CALL_SECONDS)
         self._tell("ends", request_id)
+        if self._random.random() < self._options.failing:
+            # The request has run, so the answer does not state the contrary.
+            writer.write(encode_answer(503, b"the desk's ledger is busy", echo))
+            return True
         writer.write(encode_answer(200, f"done {request_id}".encode(), echo))
         return True
 
@@ -137,6 +143,9 @@
     parser.add_argument(
         "--unframed", action="store_true", help="Streams have no length or chunks."
     )
+    parser.add_argument(
+        "--failing", type=float, default=0.0, help="Share of calls that fail."
+    )
     parser.add_argument(
         "--resets", type=int, default=0, help="Streams whose channel is reset."
     )
