--- a/review/1/case.py
+++ b/review/1/case.py
@@ -36,21 +36,6 @@
             counts[key] = counts.get(key, 0) + 1
 
 
-async def wait_for_append_of_holder(case: Case) -> None:
-    """Wait until the holder has just renewed, early in a window."""
-    loop = asyncio.get_running_loop()
-    while time.time() % WINDOW_SECONDS > 1.0:
-        await asyncio.sleep(0.02)
-    renewed = loop.create_future()
-
-    def note(topic: str) -> None:
-        if topic == "keyed.authority" and not renewed.done():
-            renewed.set_result(None)
-
-    case.platform.on_conditional_append = note
-    await asyncio.wait_for(renewed, 10.0)
-
-
 async def play(case: Case) -> bool:
     """Kill the holder of the duty once, and compare all reports of each window."""
     route = build_route("desk", "unsafe", "tenant-desk")
@@ -64,7 +49,6 @@
         asyncio.create_task(send_requests(case, number, counts)) for number in range(4)
     ]
     await asyncio.sleep(WARM_UP_SECONDS)
-    await wait_for_append_of_holder(case)
     reports = [duty for duty in case.platform.duty_calls if duty.path == "/usage"]
     if not reports:
         raise CaseError("nobody has reported usage")
--- a/review/support/platform.py
+++ b/review/support/platform.py
@@ -13,8 +13,6 @@
 from review.support.wire import encode_answer, read_request
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from review.support.wire import Request
 
 LENGTH = struct.Struct(">I")
@@ -93,13 +91,10 @@
     ----------
     duty_calls : list of DutyCall
         Accepted calls, in their order.
-    on_conditional_append : callable
-        Called with the topic after an append that named the expected end.
     """
 
     def __init__(self, keep_s: float) -> None:
         self.duty_calls: list[DutyCall] = []
-        self.on_conditional_append: Callable[[str], None] = lambda topic: None
         self.address = ("", 0)
         self._keep_s = keep_s
         self._topics: dict[str, Topic] = {}
@@ -172,8 +167,7 @@
 
     async def _append(self, query: dict[str, str], body: bytes) -> bytes:
         await asyncio.sleep(APPEND_SECONDS)
-        name = query["topic"]
-        topic = self._find(name)
+        topic = self._find(query["topic"])
         if "at" in query and int(query["at"]) != topic.end:
             reply = {"end_offset": topic.end}
             return encode_answer(412, json.dumps(reply).encode(), JSON)
@@ -182,8 +176,6 @@
             (size,) = LENGTH.unpack_from(body, position)
             position += LENGTH.size + size
             topic.add(body[position - size : position])
-        if "at" in query:
-            self.on_conditional_append(name)
         reply = {"offset": offset, "end_offset": topic.end}
         return encode_answer(200, json.dumps(reply).encode(), JSON)
 
