Review case 2: one worker that sends bytes without end stops a machine

Tried: two gateways, four workers of a plain service, six engines of which one writes an event without end, in chunks of 8 bytes, on four streams.

The case of a worker's own 503 gives way to it: whether a worker may answer so after a run is open.

--- a/review/support/worker.py
+++ b/review/support/worker.py
@@ -9,7 +9,6 @@
 import argparse
 import asyncio
 import json
-import random
 import socket
 import struct
 import time
@@ -21,6 +20,9 @@
     from review.support.wire import Request
 
 CALL_SECONDS = 0.045
+# A line of an event in a chunk of its own.
+ENDLESS_LINE = b"8\r\ndata: a\n\r\n"
+LINES_PER_WRITE = 1000
 # A close with this option resets the channel.
 RESET = struct.pack("ii", 1, 0)
 
@@ -31,7 +33,7 @@
     def __init__(self, options: argparse.Namespace) -> None:
         self._options = options
         self._resets_left = options.resets
-        self._random = random.Random(options.name)
+        self._endless_left = options.endless
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -67,10 +69,6 @@
         self._tell("begins", request_id, body=request.body.decode("latin-1"))
         await asyncio.sleep(CALL_SECONDS)
         self._tell("ends", request_id)
-        if self._random.random() < self._options.failing:
-            # The request has run, so the answer does not state the contrary.
-            writer.write(encode_answer(503, b"the desk's ledger is busy", echo))
-            return True
         writer.write(encode_answer(200, f"done {request_id}".encode(), echo))
         return True
 
@@ -88,6 +86,9 @@
         lines += [f"{key}: {value}" for key, value in echo.items()]
         lines.append("Transfer-Encoding: chunked" if chunked else "Connection: close")
         writer.write("\r\n".join([*lines, "", ""]).encode())
+        if self._endless_left:
+            self._endless_left -= 1
+            return await self._write_endless(writer, request_id)
         lost = False
         for number in range(first, options.events + 1):
             await asyncio.sleep(options.gap)
@@ -109,6 +110,19 @@
             writer.write(b"0\r\n\r\n")
         return chunked
 
+    async def _write_endless(
+        self, writer: asyncio.StreamWriter, request_id: str
+    ) -> bool:
+        """Write lines of an event that never ends, until the caller closes."""
+        started = time.monotonic()
+        try:
+            while True:
+                writer.write(ENDLESS_LINE * LINES_PER_WRITE)
+                await writer.drain()
+        finally:
+            seconds = round(time.monotonic() - started, 3)
+            self._tell("closed by the caller", request_id, seconds=seconds)
+
     def _reset(self, writer: asyncio.StreamWriter) -> None:
         connection = writer.get_extra_info("socket")
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
@@ -144,7 +158,7 @@
         "--unframed", action="store_true", help="Streams have no length or chunks."
     )
     parser.add_argument(
-        "--failing", type=float, default=0.0, help="Share of calls that fail."
+        "--endless", type=int, default=0, help="Streams of bytes without end."
     )
     parser.add_argument(
         "--resets", type=int, default=0, help="Streams whose channel is reset."
