--- a/review/2/case.py
+++ b/review/2/case.py
@@ -15,7 +15,7 @@
 
 ZONES = ["suva-central", "nasinu"]
 # Streams of the faulty worker that do not end, of all that it gets.
-ENDLESS_STREAMS = 4
+ENDLESS_STREAMS = 8
 CALL_TIMEOUT = 1.0
 # The rule: "more than half have no answer half a second later".
 LATE_SECONDS = 0.5
