--- a/review/5/stop.py
+++ b/review/5/stop.py
@@ -48,4 +48,9 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    try:
+        status = asyncio.run(main())
+    except Exception as error:
+        print(f"the case could not run: {error!r}")
+        status = 2
+    sys.exit(status)
