--- a/review/2/case.py
+++ b/review/2/case.py
@@ -24,7 +24,11 @@
 STREAM_GAP_SECONDS = 0.15
 # A consumer that waits for longer than its time budget, to see when the answer comes.
 PATIENCE_MS = 12_000
-PROMPT = {"X-Wisteriagw-Model": "m", "X-Wisteriagw-Token-Count": "383,8"}
+SUBJECTS = 1372
+PROMPT = {
+    "X-Wisteriagw-Model": "m",
+    "X-Wisteriagw-Token-Count": "383,8",
+}
 
 
 async def play(case: Case) -> bool:
@@ -70,18 +74,25 @@
     while time.monotonic() < end:
         machine = case.gateways.machines[len(sending) % len(ZONES)]
         sending.append(
-            asyncio.create_task(send(case, machine.name, machine.front, route))
+            asyncio.create_task(
+                send(case, machine.name, machine.front, route, len(sending))
+            )
         )
         await asyncio.sleep(gap)
     return list(await asyncio.gather(*sending))
 
 
 async def send(
-    case: Case, machine: str, front: tuple[str, int], route: str
+    case: Case, machine: str, front: tuple[str, int], route: str, number: int
 ) -> tuple[str, str, float, Answer]:
     """Send one request; return machine, id, time of sending and answer."""
     sent_at = time.monotonic()
-    headers = PROMPT if route == "ask" else {}
+    headers = {}
+    if route == "ask":
+        # Requests on a subject share the first part, the last is the request's own; the
+        # site has 1,372 subjects ("things") for this kind.
+        prefix = f"5c1e{number % SUBJECTS:04x}:92,{number:08x}:291"
+        headers = {**PROMPT, "X-Wisteriagw-Prompt-Prefix": prefix}
     request_id, answer = await case.send(
         front, f"/{route}/x", TENANTS[0], PATIENCE_MS, headers
     )
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -18,7 +18,7 @@
 DEADLINE_MS = 4000
 PROMPT = {
     "X-Wisteriagw-Model": "m",
-    "X-Wisteriagw-Token-Count": "383,8",
+    "X-Wisteriagw-Token-Count": "383,20",
     "X-Wisteriagw-Prompt-Prefix": "5c1e07a2:92,91bd3f06:291",
 }
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -8,7 +8,7 @@
 
 from review.support.case import CaseError, run_case
 from review.support.dark_address import DarkAddress
-from review.support.operator import HOST, KEYS, TENANTS, build_configuration
+from review.support.operator import HOST, build_configuration
 from review.support.operator import build_route as build
 
 if TYPE_CHECKING:
@@ -20,6 +20,8 @@
 GAP_SECONDS = 0.1
 # Half of the objective of 600 ms.
 PATIENCE_SECONDS = 0.3
+# "share" of `give_up`: at most so many consumers leave.
+MAX_LEFT = STREAMS // 5
 # The rule: "workers are still at work half a second later on more than a quarter".
 AT_WORK_SECONDS = 0.5
 SHARE = 0.25
@@ -28,7 +30,13 @@
 async def play(case: Case) -> bool:
     """Let one of six workers go dark while some consumers leave early."""
     route = build(
-        "long", "stream", "footfall-lm", max_attempts=2, can_resume=True, priority=1
+        "long",
+        "stream",
+        "footfall-lm",
+        max_attempts=2,
+        can_resume=True,
+        priority=1,
+        public=True,
     )
     configuration = build_configuration(
         [{**route, "timeout_ms": 8000}], ("footfall-lm",)
@@ -89,7 +97,6 @@
         f"Host: {HOST}",
         f"X-Wisteriagw-Request-Id: {request_id}",
         "X-Wisteriagw-Deadline-Ms: 8000",
-        f"Authorization: Token {KEYS[TENANTS[0]]}",
         "X-Wisteriagw-Model: m",
         "X-Wisteriagw-Token-Count: 383,20",
         f"X-Wisteriagw-Prompt-Prefix: 5c1e07a2:92,{number:08x}:291",
@@ -102,10 +109,24 @@
         async with asyncio.timeout(PATIENCE_SECONDS):
             await reader.readuntil(b"\n\n")
     except TimeoutError:
+        if len(left) >= MAX_LEFT:
+            case.write(f"request {request_id}: the consumer stays, enough have left")
+            await read_to_end(case, request_id, reader, writer)
+            return
         left[request_id] = time.monotonic()
         case.write(f"request {request_id}: nothing within 0.3 s, the consumer leaves")
         writer.transport.abort()
         return
+    await read_to_end(case, request_id, reader, writer)
+
+
+async def read_to_end(
+    case: Case,
+    request_id: str,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Read a chunked answer to its last chunk."""
     while data := await reader.read(65536):
         if data.endswith(b"0\r\n\r\n"):
             break
--- a/review/support/worker.py
+++ b/review/support/worker.py
@@ -14,7 +14,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from review.support.wire import encode_answer, read_request
+from review.support.wire import call, encode_answer, read_request
 
 if TYPE_CHECKING:
     from review.support.wire import Request
@@ -23,6 +23,11 @@
 # A line of an event in a chunk of its own.
 ENDLESS_LINE = b"8\r\ndata: a\n\r\n"
 LINES_PER_WRITE = 1000
+# Between the workers of the scripts only; the pages do not show how a copy is sent.
+COPY_PATH = "/copy-of-a-run"
+# "several times per second": the first copy is there after two events of 0.1 s.
+COPIED_AFTER = 2
+NOT_EXECUTED = {"X-Wisteriagw-Not-Executed": "1"}
 # A close with this option resets the channel.
 RESET = struct.pack("ii", 1, 0)
 
@@ -33,6 +38,7 @@
     def __init__(self, options: argparse.Namespace) -> None:
         self._options = options
         self._resets_left = options.resets
+        self._copies: set[str] = set()
         self._endless_left = options.endless
 
     async def serve(
@@ -54,6 +60,10 @@
         """Answer a request; return whether the channel is kept."""
         headers, name = request.headers, self._options.name
         request_id = headers.get("x-wisteriagw-request-id", "")
+        if request.path == COPY_PATH:
+            self._copies.add(request_id)
+            writer.write(encode_answer(200))
+            return True
         if request.path in ("/health", "/report", "/order", "/kv-list"):
             self._tell("call", request_id, path=request.path)
             body = b'{"held":[],"epoch":1,"next_token":0}'
@@ -80,6 +90,11 @@
         request_id = headers["x-wisteriagw-request-id"]
         first = int(headers.get("last-event-id", 0)) + 1
         source = headers.get("x-wisteriagw-kv-source", "")
+        if source and request_id not in self._copies:
+            self._tell("refuses, no copy", request_id)
+            writer.write(encode_answer(503, b"", {**echo, **NOT_EXECUTED}))
+            return True
+        backup = headers.get("x-wisteriagw-kv-backup", "")
         self._tell("begins", request_id, first=first, source=source)
         chunked = not options.unframed
         lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
@@ -94,6 +109,8 @@
             await asyncio.sleep(options.gap)
             event = f"id: {number}\ndata: {request_id}\n\n".encode()
             self._tell("event", request_id, number=number, channel=not lost)
+            if backup and number == COPIED_AFTER:
+                await self._copy(backup, request_id)
             if lost:
                 continue
             data = b"%x\r\n%b\r\n" % (len(event), event) if chunked else event
@@ -110,6 +127,12 @@
             writer.write(b"0\r\n\r\n")
         return chunked
 
+    async def _copy(self, backup: str, request_id: str) -> None:
+        """Send the memory of a run to the worker that keeps its copy."""
+        host, _, port = backup.rpartition(":")
+        headers = {"Host": backup, "X-Wisteriagw-Request-Id": request_id}
+        await call((host, int(port)), "POST", COPY_PATH, headers, timeout=1.0)
+
     async def _write_endless(
         self, writer: asyncio.StreamWriter, request_id: str
     ) -> bool:
