--- a/tests/support/_gateway_fixture.py
+++ b/tests/support/_gateway_fixture.py
@@ -7,6 +7,7 @@
 from twisted.internet.task import Clock
 
 from wisteriagw.connections import (
+    CallClient,
     ConnectFailedError,
     HttpRequest,
     Reachability,
@@ -28,6 +29,7 @@
 from wisteriagw.gateway._usage_counter import UsageCounter
 from wisteriagw.gateway.notices import NoticeBoard
 from wisteriagw.placement import WorkTable
+from wisteriagw.platform import EngineClient
 from wisteriagw.routes import (
     Customer,
     EngineTraits,
@@ -63,9 +65,11 @@
     def start(self, status: int = 200, **headers: str) -> None:
         """Deliver the head of a genuine response."""
         found = {
-            b"x-wisteriagw-request-id": self.headers[b"x-wisteriagw-request-id"],
-            b"x-wisteriagw-server-stamp": b"stamp",
+            name: value
+            for name, value in self.headers.items()
+            if name == b"x-wisteriagw-request-id"
         }
+        found[b"x-wisteriagw-server-stamp"] = b"stamp"
         for name, value in headers.items():
             found[name.replace("_", "-").encode()] = value.encode()
         self.response.handle_head(ResponseHead(status, tuple(found.items())))
@@ -236,6 +240,7 @@
             self.notices,
             lambda: 0.5,
             self.store.eras,
+            EngineClient(CallClient(self.clock, self.pool)),
         )
         self.handler = RequestHandler(self.context)
 
--- a/tests/test_stream_backups.py
+++ b/tests/test_stream_backups.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from collections import Counter
 
 import pytest
@@ -87,6 +88,110 @@
         assert gateway.count_usage() == 28
 
 
+class TestRunOfALostAnswer:
+    """A stream went on at a second engine while the first one still ran it."""
+
+    def test_confirmed_stop_names_where_the_run_goes_on(self) -> None:
+        gateway = build_gateway()
+        responder = gateway.request("ask", prompt="300,50")
+        first = cut_stream(gateway)
+        stop = gateway.pool.sent[1]
+        assert stop.address == first.address and stop.request.target == b"/kv-move"
+        backup = first.headers[b"x-wisteriagw-kv-backup"].decode()
+        assert json.loads(stop.request.body) == {
+            "id": "r1",
+            "to": backup,
+            "final": True,
+        }
+        assert stop.headers[b"x-wisteriagw-expect-instance"] in (b"lm-1", b"lm-2")
+        gateway.clock.advance(0.3)
+        assert len(gateway.pool.sent) == 2
+        stop.reply(200, b'{"kv_handle": "h7", "created": 4}')
+        second = gateway.pool.sent[2]
+        host, port = second.address
+        assert f"{host}:{port}" == backup
+        source = b"%s:80/h7" % first.address[0].encode()
+        assert second.headers[b"x-wisteriagw-kv-source"] == source
+        assert second.headers[b"last-event-id"] == b"2"
+        second.start(200)
+        second.response.handle_part(EVENT % 3)
+        second.response.handle_end()
+        assert responder.body == EVENT % 1 + EVENT % 2 + EVENT % 3
+        assert responder.ended and not responder.aborted
+
+    def test_run_goes_on_where_it_was_stopped_if_the_backup_is_full(self) -> None:
+        gateway = build_gateway()
+        gateway.request("ask", prompt="300,50")
+        first = cut_stream(gateway)
+        gateway.pool.sent[1].reply(503, b'{"kv_handle": "h7"}')
+        second = gateway.pool.sent[2]
+        assert second.address == first.address
+        source = b"%s:80/h7" % first.address[0].encode()
+        assert second.headers[b"x-wisteriagw-kv-source"] == source
+
+    @pytest.mark.parametrize(
+        ("status", "body"),
+        [
+            (200, b"done"),
+            (200, b"{}"),
+            (200, b"[" * 100_000),
+            (409, b"{}"),
+            (500, b'{"kv_handle": "h7"}'),
+            (503, b""),
+        ],
+    )
+    def test_answer_that_confirms_no_stop_ends_the_stream(
+        self, status: int, body: bytes
+    ) -> None:
+        gateway = build_gateway()
+        responder = gateway.request("ask", prompt="300,50")
+        cut_stream(gateway)
+        gateway.pool.sent[1].reply(status, body)
+        assert responder.aborted
+        assert len(gateway.pool.sent) == 2
+
+    @pytest.mark.parametrize("lost", [True, False], ids=["lost", "late"])
+    def test_missing_confirmation_ends_the_stream(self, lost: bool) -> None:
+        gateway = build_gateway()
+        responder = gateway.request("ask", prompt="300,50")
+        cut_stream(gateway)
+        stop = gateway.pool.sent[1]
+        if lost:
+            stop.response.handle_loss("reset")
+        gateway.clock.advance(1.0)
+        assert responder.aborted and stop.aborted is not lost
+        assert len(gateway.pool.sent) == 2
+
+    @pytest.mark.parametrize("refusing", [True, False], ids=["ended", "runs"])
+    def test_engine_that_cannot_stop_runs_counts_as_ended_once_it_is_gone(
+        self, refusing: bool
+    ) -> None:
+        gateway = build_gateway(moves_runs=False)
+        responder = gateway.request("ask", prompt="300,50")
+        if refusing:
+            gateway.pool.refusing.add(gateway.pool.sent[0].address)
+        first = cut_stream(gateway)
+        assert len(gateway.pool.sent) == 1 + refusing
+        assert responder.aborted is not refusing
+        if refusing:
+            assert gateway.pool.sent[1].address != first.address
+
+    def test_another_lifetime_of_the_engine_does_not_run_it(self) -> None:
+        gateway = build_gateway()
+        gateway.request("ask", prompt="300,50")
+        cut_stream(gateway)
+        gateway.pool.sent[1].reply(421)
+        assert gateway.pool.sent[2].headers[b"x-wisteriagw-kv-source"]
+
+    def test_caller_that_leaves_during_the_stop_gets_no_second_run(self) -> None:
+        gateway = build_gateway()
+        responder = gateway.request("ask", prompt="300,50")
+        cut_stream(gateway)
+        responder.on_disconnect()
+        gateway.pool.sent[1].reply(404)
+        assert len(gateway.pool.sent) == 2
+
+
 class TestNoticesOfTheBackup:
     """A run went on at an engine that had asked for fewer requests, or none."""
 
@@ -244,7 +349,11 @@
         responder = gateway.request("ask", prompt="300,50")
         lose_stream(gateway)[1].reply(503, x_wisteriagw_not_executed="1")
         assert responder.aborted
-        assert len(gateway.pool.sent) == 2
+        assert [sent.request.target for sent in gateway.pool.sent] == [
+            b"/ask/x",
+            b"/kv-move",
+            b"/ask/x",
+        ]
 
     def test_copy_is_gone_with_its_engine(self) -> None:
         gateway = build_gateway()
@@ -312,11 +421,13 @@
             assert table.services["lm"].engine.keeps_backups is expected
 
 
-def build_gateway(engines: int = 2) -> GatewayFixture:
+def build_gateway(engines: int = 2, moves_runs: bool = True) -> GatewayFixture:
     """Return a gateway whose engines keep copies."""
     gateway = GatewayFixture()
     table = gateway.configuration.table
-    traits = EngineTraits(64, 500_000, 18_432, 370_000.0, 5, 3, keeps_backups=True)
+    traits = EngineTraits(
+        64, 500_000, 18_432, 370_000.0, 5, 3, keeps_backups=True, moves_runs=moves_runs
+    )
     services = {**table.services}
     services["lm"] = services["lm"]._replace(engine=traits)
     routes = [route._replace(gap_seconds=0.15) for route in ROUTES]
@@ -329,12 +440,22 @@
 
 
 def lose_stream(gateway: GatewayFixture):
-    """Cut the first stream within its third event; return both sent requests."""
+    """Cut the first stream within its third event; return both sent requests.
+
+    The engine no longer runs it.
+    """
+    first = cut_stream(gateway)
+    gateway.pool.sent[1].reply(404)
+    return first, gateway.pool.sent[2]
+
+
+def cut_stream(gateway: GatewayFixture):
+    """Cut the first stream within its third event; return the sent request."""
     first = gateway.pool.sent[0]
     first.start(200)
     first.response.handle_part(EVENT % 1 + EVENT % 2 + b"id: 3\nda")
     first.response.handle_loss("reset")
-    return first, gateway.pool.sent[1]
+    return first
 
 
 def find_copy(sent) -> bytes:
--- a/wisteriagw/gateway/_context.py
+++ b/wisteriagw/gateway/_context.py
@@ -21,7 +21,7 @@
     from wisteriagw.gateway._usage_counter import UsageCounter
     from wisteriagw.gateway.notices import NoticeBoard
     from wisteriagw.placement import WorkTable
-    from wisteriagw.platform import NodeSettings
+    from wisteriagw.platform import EngineClient, NodeSettings
 
 
 class GatewayContext(NamedTuple):
@@ -44,3 +44,4 @@
     notices: NoticeBoard
     draw: Callable[[], float]
     eras: EraTracker
+    engines: EngineClient
--- a/wisteriagw/gateway/_loss_detector.py
+++ b/wisteriagw/gateway/_loss_detector.py
@@ -6,7 +6,8 @@
 
 from twisted.internet.defer import CancelledError, Deferred, TimeoutError
 
-from wisteriagw.connections import Reachability, ResponseLostError
+from wisteriagw.connections import Reachability
+from wisteriagw.gateway._engine_unreachable import EngineUnreachableError
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -32,8 +33,8 @@
     ) -> Any:
         """Return what ``read`` returns.
 
-        Fails with ResponseLostError once there was no data for ``limit`` seconds and
-        the server is unreachable. While it is reachable, the limit is doubled after
+        Fails with EngineUnreachableError once there was no data for ``limit`` seconds
+        and the server is unreachable. While it is reachable, the limit is doubled after
         each check.
         """
         context = self._access.context
@@ -53,7 +54,7 @@
                     return await reading
                 reading.addErrback(lambda failure: failure.trap(CancelledError))
                 reading.cancel()
-                raise ResponseLostError(
+                raise EngineUnreachableError(
                     f"silent for {limit:.2f} s and accepts no connection"
                 )
             limit *= 2
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -83,7 +83,8 @@
         eras = EraTracker(reactor.seconds, settings.first_start)
         store = StoreClient(calls, settings.store, eras)
         self._mesh = Mesh(reactor, settings.vm)
-        self.context = self._build_context(store, pool, wall_clock)
+        engines = EngineClient(calls)
+        self.context = self._build_context(store, pool, engines, wall_clock)
         self._members = Members(reactor, store, build_member(settings, incarnation))
         self._copies = UsageCopies()
         self._exchange = UpdateExchange(
@@ -110,7 +111,7 @@
         )
         self._survey = CacheSurvey(
             reactor,
-            EngineClient(calls),
+            engines,
             self.context.fleet,
             self._members,
             settings.vm,
@@ -191,6 +192,7 @@
         self,
         store: StoreClient,
         pool: ConnectionPool,
+        engines: EngineClient,
         wall_clock: Callable[[], float],
     ) -> GatewayContext:
         reactor, settings = self._reactor, self._settings
@@ -226,6 +228,7 @@
             notices,
             random.random,
             store.eras,
+            engines,
         )
 
     def _build_directory(self) -> ServerFactory:
--- a/wisteriagw/gateway/_request_exchange.py
+++ b/wisteriagw/gateway/_request_exchange.py
@@ -99,11 +99,11 @@
                 self._answer_failure(outcome, "no_backend_server")
                 return
             self._attempts = record_attempt(self._attempts, server, outcome)
-            if not self._should_retry(outcome):
+            if not await self._should_retry(outcome):
                 self._answer_failure(outcome)
                 return
 
-    def _should_retry(self, outcome: Outcome) -> bool:
+    async def _should_retry(self, outcome: Outcome) -> bool:
         context, service = self._context, self._service.name
         now = context.reactor.seconds()
         # A run that goes on from a copy after its last event is not another attempt.
@@ -122,6 +122,10 @@
             self._deadline,
             now,
         )
+        if self._continuing and decision.retry:
+            ended = await self._forwarder.stop_lost_run()
+            reason = "copy" if ended else "may_still_run"
+            decision = decision._replace(retry=ended, reason=reason)
         context.log.write(
             "retry",
             request_id=self._caller.request_id,
@@ -144,7 +148,7 @@
             limits = self._context.configuration.table.limits
             body = await response.read_body(limits.max_body_bytes)
         except ResponseLostError as error:
-            self._forwarder.record_loss(str(error))
+            self._forwarder.record_loss(error)
             return MayHaveRun(str(error))
         self._forwarder.record_answer(head.status)
         if head.status >= MIN_SERVER_ERROR_STATUS and not self._responder.started:
--- a/wisteriagw/gateway/_request_forwarder.py
+++ b/wisteriagw/gateway/_request_forwarder.py
@@ -7,8 +7,11 @@
 from twisted.internet.defer import TimeoutError
 
 from wisteriagw.connections import ConnectFailedError, ResponseLostError
+from wisteriagw.gateway._engine_unreachable import EngineUnreachableError
 from wisteriagw.gateway._loss_detector import LossDetector
 from wisteriagw.gateway._prompt_prefill import PromptPrefill
+from wisteriagw.gateway._run_copy import RunCopy
+from wisteriagw.gateway._run_stopper import RunStopper
 from wisteriagw.gateway._work_reservation import WorkReservation
 from wisteriagw.outcomes import Answering, FailedNotRun, MayHaveRun, RefusedNotRun
 from wisteriagw.placement import Plan
@@ -64,7 +67,11 @@
         self._running_since: float | None = None
         self._expected_tokens = 0.0
         self._sound = False
+        self._running: BackendServer | None = None
+        self._unreachable = False
         self._backup: BackendServer | None = None
+        # Where the run that was lost goes on; None while it may go on at its engine.
+        self._copy: RunCopy | None = None
 
     async def attempt(
         self, excluded: tuple[str, ...], last_event: int | None
@@ -109,8 +116,8 @@
     async def read_part(self, response: Response, progress_at: float) -> bytes | None:
         """Return the next part of a stream whose last event came at a time.
 
-        Fails with ResponseLostError if the engine is silent and unreachable, and the
-        run can go on elsewhere.
+        Fails with EngineUnreachableError if the engine is silent and unreachable, and
+        the run can go on elsewhere.
         """
         may_go_on = self.has_backup() and not self._sent_at
         if not self._access.route.resumable and not may_go_on:
@@ -121,32 +128,36 @@
 
     def has_backup(self) -> bool:
         """Return whether another engine may keep a copy of the run that was lost."""
-        backup = self._backup
-        if backup is None:
-            return False
-        known = self._access.context.fleet.fleet.servers.get(backup.name)
-        if known is None or known.born != backup.born:
-            return False
-        return self._access.notices.permit(known)
+        return self._backup is not None and self._takes_run(self._backup)
+
+    async def stop_lost_run(self) -> bool:
+        """Make sure that the lost run has ended; return whether it can be continued."""
+        self.close()
+        server, backup = self._running, self._backup
+        if self._unreachable:
+            source = (backup.address, self._access.caller.request_id)
+            self._copy = RunCopy(backup, source)
+        else:
+            self._copy = await RunStopper(self._access).stop(server, backup)
+        return self._copy is not None and self._takes_run(self._copy.server)
 
     async def continue_run(self, last_event: int | None) -> Outcome:
-        """Continue the lost run at the engine that keeps its copy.
+        """Continue the run that was stopped where its KV cache is kept.
 
         The engine refuses it if no copy arrived before the loss.
         """
         self.close()
-        access, backup = self._access, self._backup
-        self._backup = None
+        access, (server, source) = self._access, self._copy
+        self._backup = self._copy = None
         refusal = access.find_quarantine()
         if refusal is not None:
             self.server = ""
             return refusal
-        access.notices.count(backup.name)
-        terms = access.build_terms(backup)._replace(
-            source=(backup.address, access.caller.request_id),
-            last_event=self._find_resume_point(last_event),
+        access.notices.count(server.name)
+        terms = access.build_terms(server)._replace(
+            source=source, last_event=self._find_resume_point(last_event)
         )
-        return await self._send(terms, Plan(backup.name))
+        return await self._send(terms, Plan(server.name))
 
     def record_events(self) -> None:
         """Record events of the answer: the request runs."""
@@ -194,11 +205,12 @@
         else:
             context.work.record_failure(self.server, now, SERVER_ERROR_WEIGHT)
 
-    def record_loss(self, reason: str) -> None:
+    def record_loss(self, error: ResponseLostError) -> None:
         """Record that the server's answer was lost after its head had arrived."""
+        self._unreachable = isinstance(error, EngineUnreachableError)
         progress = "head" if self._running_since is None else "events"
         self._access.record_loss(
-            self.server, reason, progress, self._came_at, self._sound
+            self.server, str(error), progress, self._came_at, self._sound
         )
 
     def close(self) -> None:
@@ -211,6 +223,13 @@
             self._reservation = None
         self._prefill.release()
 
+    def _takes_run(self, server: BackendServer) -> bool:
+        """Return whether an engine lives on and takes requests."""
+        known = self._access.context.fleet.fleet.servers.get(server.name)
+        if known is None or known.born != server.born:
+            return False
+        return self._access.notices.permit(known)
+
     def _find_resume_point(self, last_event: int | None) -> int | None:
         """Return the last event if it is later than the one that the caller named."""
         return last_event if last_event != self._access.caller.last_event else None
@@ -226,6 +245,7 @@
         access, context = self._access, self._access.context
         server = terms.server
         self.server = server.name
+        self._running = server
         tokens = 0.0
         self._expected_tokens = 0.0
         if terms.source is None:
--- a/wisteriagw/platform/__init__.py
+++ b/wisteriagw/platform/__init__.py
@@ -43,6 +43,7 @@
     parse_address,
     parse_settings,
 )
+from wisteriagw.platform._stopped_run import decode_stopped_run, reports_no_run
 from wisteriagw.platform._store_client import CALL_TIMEOUT_SECONDS, StoreClient
 from wisteriagw.platform._store_page import StorePage
 from wisteriagw.platform._store_record import StoreRecord
@@ -88,6 +89,7 @@
     "decode_entry",
     "decode_handle",
     "decode_notices",
+    "decode_stopped_run",
     "encode_addresses",
     "encode_forwarded",
     "encode_refusal",
@@ -99,5 +101,6 @@
     "is_unknown",
     "parse_address",
     "parse_settings",
+    "reports_no_run",
     "reports_not_run",
 ]
--- a/wisteriagw/platform/_configuration.py
+++ b/wisteriagw/platform/_configuration.py
@@ -85,6 +85,7 @@
         stage_switch_seconds=float(fields.get("stage_switch_s", 0.0)),
         # "replicas" are copies of the KV cache of running requests.
         keeps_backups=bool(fields.get("replicas", False)),
+        moves_runs=bool(fields.get("migrations", False)),
     )
 
 
--- a/wisteriagw/routes/_engine_traits.py
+++ b/wisteriagw/routes/_engine_traits.py
@@ -25,6 +25,8 @@
     keeps_backups : bool
         Whether an engine can keep a copy of the KV cache of another engine's run and
         continue the run from it.
+    moves_runs : bool
+        Whether an engine can stop a run and move its KV cache to another engine.
     """
 
     slots: int
@@ -34,3 +36,4 @@
     handle_ttl: float
     stage_switch_seconds: float
     keeps_backups: bool = False
+    moves_runs: bool = False
