--- a/wisteriagw/gateway/_usage_reporter.py
+++ b/wisteriagw/gateway/_usage_reporter.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from wisteriagw.eras import UNKNOWN_ERA, StorePosition
+from wisteriagw.gateway._report_ledger import ReportLedger
 from wisteriagw.gateway._usage_windows import UsageWindows, encode_seal
 from wisteriagw.platform import (
     USAGE_TOPIC,
@@ -32,6 +33,9 @@
 class UsageReporter:
     """Seals windows in the store and reports their figures.
 
+    A seal fixes the figures against counts that come late, and expires with the store's
+    history. The ledger keeps what may have been reported.
+
     Parameters
     ----------
     get_copies : callable
@@ -58,20 +62,43 @@
         self._get_copies = get_copies
         self._list_vms = list_vms
         self._windows = UsageWindows()
+        self._ledger = ReportLedger(store)
+        self._fencing_number: int | None = None
         self._next = StorePosition(UNKNOWN_ERA, 0)
         self._reported: set[int] = set()
         self._skipped: set[int] = set()
 
     async def run_cycle(self) -> None:
         """Seal and report what is due, if this process holds the authority."""
-        if self._authority.get_fencing_number() is None:
+        fencing_number = self._authority.get_fencing_number()
+        if fencing_number is None:
             return
         newest = self._find_newest_ended(EARLY_FRACTION)
         if newest in self._reported:
             return
+        if fencing_number != self._fencing_number:
+            # Other holders may have reported since this process held the authority.
+            await self._ledger.read(newest)
+            self._fencing_number = fencing_number
         await self._read_topic()
+        if not await self._seal_windows(newest):
+            return
+        oldest = newest - MAX_WINDOWS_BACK
+        for window in sorted({*self._windows.sealed, *self._ledger.figures}):
+            if window in self._reported or window < oldest:
+                continue
+            if not await self._enter(window):
+                return
+            await self._report(window)
+        self._forget_windows(oldest)
+
+    async def _seal_windows(self, newest: int) -> bool:
+        """Seal what is due; return whether reports may follow."""
         complete_from = self._authority.get_era_seen_at()
         for window in self._windows.list_unsealed(newest):
+            if self._ledger.covers(window):
+                # Its seal has expired, and its counts were written again.
+                continue
             if (window + 1) * self._settings.usage_window <= complete_from:
                 # Its figures may have been sealed and reported, and lost in a restore.
                 self._log_skipped(window)
@@ -80,11 +107,23 @@
             if not late and not self._windows.is_complete(window, self._list_vms()):
                 break
             if not await self._seal(window):
-                return
-        for window in sorted(self._windows.sealed):
-            if window in self._reported or window < newest - MAX_WINDOWS_BACK:
-                continue
-            await self._report(window)
+                return False
+        return True
+
+    async def _enter(self, window: int) -> bool:
+        """Return whether the ledger has the figures of a window, entering them if not.
+
+        A window that is older than the newest entry is entered no more.
+        """
+        if window in self._ledger.figures or self._ledger.covers(window):
+            return True
+        return await self._ledger.enter(window, self._windows.sealed[window])
+
+    def _forget_windows(self, oldest: int) -> None:
+        if self._ledger.newest is not None:
+            self._windows.forget_before(min(oldest, self._ledger.newest))
+        self._reported = {window for window in self._reported if window >= oldest}
+        self._skipped = {window for window in self._skipped if window >= oldest}
 
     def _find_newest_ended(self, fraction: float) -> int:
         """Return the newest window that ended at least a fraction of usage_due ago."""
@@ -125,9 +164,9 @@
 
     async def _report(self, window: int) -> None:
         fencing_number = self._authority.get_fencing_number()
-        if fencing_number is None:
+        counts = self._ledger.figures.get(window)
+        if fencing_number is None or counts is None:
             return
-        counts = self._windows.sealed[window]
         outcome = await self._duties.report_usage(window, counts, fencing_number)
         logger.info("usage of window %d: %s, %s", window, counts, outcome)
         if is_done(outcome):
--- a/wisteriagw/gateway/_usage_windows.py
+++ b/wisteriagw/gateway/_usage_windows.py
@@ -49,6 +49,15 @@
                     "invalid usage record at offset %d: %s", record.offset, error
                 )
 
+    def forget_before(self, window: int) -> None:
+        """Forget the windows before one, which are reported no more."""
+        if self.first is None or self.first >= window:
+            return
+        self.first = window
+        for known in (self.sealed, self._open, self._writers):
+            for old in [number for number in known if number < window]:
+                del known[old]
+
     def forget_open(self) -> None:
         """Forget the windows that are not sealed, to read the topic anew."""
         self.first = None
--- a/wisteriagw/platform/__init__.py
+++ b/wisteriagw/platform/__init__.py
@@ -55,6 +55,7 @@
     MEMBERS_TOPIC,
     QUARANTINES_TOPIC,
     REGISTER_TOPIC,
+    REPORTS_TOPIC,
     USAGE_TOPIC,
 )
 
@@ -68,6 +69,7 @@
     "QUARANTINES_TOPIC",
     "READY_PATH",
     "REGISTER_TOPIC",
+    "REPORTS_TOPIC",
     "RESOLVE_PATH",
     "SETTINGS_VARIABLE",
     "USAGE_TOPIC",
