Bound the time that small chunks without end take (CONFIG)

Seen: 3 to 8 streams of one engine that sent an event without end, in chunks of 8 bytes, stopped the machines for seconds; most calls of another service that were open at their timeout had no answer half a second later.

Cause: bounds in bytes where the cost is in parts. EventSplitter copied the whole incomplete event for each part (18.4 s for 131,072 parts of 8 bytes), and a connection parsed all that one read of the socket held in one turn of the loop: 12 us a chunk, 60 ms a read.

Fix: ReadPacer ends a turn after 256 parts and pauses the connection between turns once it has had eight of them. The splitter grows in place, and an event comes in at most 1,024 parts. Parts are handed to their reader once a turn. The same for callers' bodies and pipelined requests, which were also copied with each read and handled within one another; for responses to other requests, whose bodies were dropped without a limit; and for the entry program's EventReader.

Of the new tests 10 fail with the code before (constants and parameters added to it, so that they can run); the other new ones guard the order and the loss of parts that wait.

Price: chunks of less than 256 bytes, more than 2,048 of them at once, are delayed by 0.1 s for each 256 more.

--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -4,13 +4,26 @@
 
 import pytest
 from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.task import Clock
+from twisted.python.failure import Failure
 
 from tests.support._gateway_fixture import GatewayFixture
 from tests.test_connections import ClosableTransport, collect
 from wisteriagw.connections import HttpRequest, ResponseLostError, ServerFactory
 from wisteriagw.connections._client_connection import ClientConnection
+from wisteriagw.connections._read_pacer import (
+    FREE_TURNS,
+    PARTS_PER_TURN,
+    PAUSE_SECONDS,
+)
 from wisteriagw.connections._response import MAX_QUEUED_BYTES
-from wisteriagw.gateway._event_splitter import MAX_EVENT_BYTES, EventSplitter
+from wisteriagw.connections._server_connection import ServerConnection
+from wisteriagw.gateway._event_splitter import (
+    MAX_EVENT_BYTES,
+    MAX_EVENT_PARTS,
+    EventSplitter,
+)
 from wisteriagw.routes import CallerLimits
 
 CHUNK = b"x" * 65_536
@@ -181,6 +194,144 @@
         assert responder.body == b"id: 1\ndata: t\n\n"
 
 
+class TestSmallParts:
+    """Small parts without end kept the loop from all other work for seconds."""
+
+    HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    # What one read of the socket may hold.
+    READ = b"8\r\ndata: a\n\r\n" * 5_000
+
+    def open(self):
+        """Return a connection in virtual time, its transport and response."""
+        self.clock = Clock()
+        connection = ClientConnection(
+            lambda used: None, lambda closed: None, self.clock.callLater
+        )
+        transport = CountingTransport()
+        connection.makeConnection(transport)
+        response = connection.send(REQUEST, lambda head: True)
+        connection.dataReceived(self.HEAD)
+        return connection, transport, response
+
+    def take_turns(self, seconds: float) -> None:
+        """Run what is due now and in the next seconds."""
+        self.clock.pump([0.0, *[PAUSE_SECONDS] * round(seconds / PAUSE_SECONDS)])
+
+    def test_turn_is_shared_with_other_connections(self) -> None:
+        turns: list = []
+        connection = ClientConnection(
+            lambda used: None,
+            lambda closed: None,
+            lambda seconds, function: turns.append(function),
+        )
+        transport = CountingTransport()
+        connection.makeConnection(transport)
+        response = connection.send(REQUEST, lambda head: True)
+        connection.dataReceived(self.HEAD + self.READ)
+        for number in range(1, 4):
+            assert transport.paused - transport.resumed == len(turns) == 1
+            collect(response.read_part())
+            assert response.parts_read == number * PARTS_PER_TURN
+            turns.pop()()
+
+    def test_reader_wakes_once_a_turn(self) -> None:
+        connection, _, response = self.open()
+        parts = collect(response.read_part())
+        connection.dataReceived(self.READ[: 13 * 200])
+        assert parts == [b"data: a\n" * 200]
+
+    def test_endless_parts_take_a_bounded_share_of_the_time(self) -> None:
+        connection, transport, response = self.open()
+        seconds = 10.0
+        while self.clock.seconds() < seconds:
+            if transport.paused == transport.resumed:
+                connection.dataReceived(self.READ)
+            collect(response.read_part())
+            self.clock.advance(PAUSE_SECONDS / 2)
+        turns = FREE_TURNS + seconds / PAUSE_SECONDS + 1
+        assert response.parts_read <= turns * PARTS_PER_TURN
+
+    def test_nothing_is_lost_or_reordered(self) -> None:
+        connection, _, response = self.open()
+        body = collect(response.read_body())
+        expected = b""
+        for number in range(3_000):
+            data = b"%d;" % number
+            expected += data
+            connection.dataReceived(b"%x\r\n%b\r\n" % (len(data), data))
+        sent = b"".join(b"%x\r\n%b\r\n" % (4, b"%04d" % n) for n in range(3_000))
+        connection.dataReceived(sent + b"0\r\n\r\n")
+        expected += b"".join(b"%04d" % n for n in range(3_000))
+        self.take_turns(5.0)
+        assert body == [expected]
+
+    def test_close_behind_parts_that_wait_ends_the_body(self) -> None:
+        connection, _, response = self.open()
+        body = collect(response.read_body())
+        connection.dataReceived(b"1\r\nx\r\n" * 1_000 + b"0\r\n\r\n")
+        connection.connectionLost(Failure(ConnectionDone()))
+        self.take_turns(1.0)
+        assert body == [b"x" * 1_000]
+
+    def test_lost_connection_behind_parts_that_wait_is_a_loss(self) -> None:
+        connection, _, response = self.open()
+        body = collect(response.read_body())
+        connection.dataReceived(b"1\r\nx\r\n" * 1_000)
+        connection.connectionLost(Failure(ConnectionLost()))
+        self.take_turns(1.0)
+        assert body[0].check(ResponseLostError)
+
+    def test_answer_that_was_whole_before_a_reset_is_kept(self) -> None:
+        connection, _, response = self.open()
+        body = collect(response.read_body())
+        connection.dataReceived(b"1\r\nx\r\n" * 1_000 + b"0\r\n\r\n")
+        connection.connectionLost(Failure(ConnectionLost()))
+        assert body == [b"x" * 1_000]
+
+    @pytest.mark.parametrize("size", [1, 8, 64])
+    def test_event_in_endless_parts_is_lost(self, size: int) -> None:
+        splitter = EventSplitter()
+        fed = 0
+        with pytest.raises(ResponseLostError):
+            while fed <= MAX_EVENT_BYTES:
+                splitter.feed(b"x" * size)
+                fed += size
+        assert fed == MAX_EVENT_PARTS * size
+
+    def test_large_event_in_few_parts_is_passed_on(self) -> None:
+        splitter = EventSplitter()
+        size = MAX_EVENT_BYTES // MAX_EVENT_PARTS
+        parts = [b"x" * size] * (MAX_EVENT_PARTS - 2)
+        for part in parts:
+            assert splitter.feed(part) == b""
+        assert splitter.feed(b"\n\n") == b"".join(parts) + b"\n\n"
+
+    def test_many_events_in_small_parts_are_no_endless_event(self) -> None:
+        splitter = EventSplitter()
+        for number in range(3 * MAX_EVENT_PARTS):
+            splitter.feed(b"id: %d" % number)
+            assert splitter.feed(b"\n\n") == b"id: %d\n\n" % number
+
+    def test_stream_of_endless_parts_is_given_up_early(self) -> None:
+        gateway = GatewayFixture()
+        responder = gateway.request("ask", prompt="300,50")
+        first = gateway.pool.sent[0]
+        first.start(200)
+        first.response.handle_part(b"id: 1\ndata: t\n\n")
+        first.response.handle_part(b"data: a\n" * 2_000, MAX_EVENT_PARTS + 1)
+        assert first.aborted and responder.aborted
+
+    def test_body_of_another_response_without_end_is_lost(self) -> None:
+        connection = ClientConnection(lambda used: None, lambda closed: None)
+        transport = CountingTransport()
+        connection.makeConnection(transport)
+        response = connection.send(REQUEST, lambda head: False)
+        head = collect(response.read_head())
+        connection.dataReceived(b"HTTP/1.1 200 OK\r\n\r\n")
+        assert feed_until_closed(connection, transport, CHUNK) < SENT_BYTES
+        assert head[0].check(ResponseLostError)
+
+
 class TestEndlessCaller:
     """A caller's endless bytes must not fill the memory either."""
 
@@ -243,6 +394,50 @@
             self.received.pop(0).reply(200)
         assert transport.value().count(b"HTTP/1.1 200") == 20
 
+    def test_many_pipelined_requests_that_are_answered_at_once(self) -> None:
+        """Each was handled within the one before it, until the stack was full."""
+        clock = Clock()
+        factory = ServerFactory(
+            lambda request, responder: responder.reply(404), self.LIMITS, clock.seconds
+        )
+        connection = ServerConnection(factory, clock.callLater)
+        transport = ClosableTransport()
+        connection.makeConnection(transport)
+        connection.dataReceived(CALL * 3_000)
+        assert transport.value().count(b"HTTP/1.1 404") <= PARTS_PER_TURN
+        clock.pump([0.0] * FREE_TURNS + [PAUSE_SECONDS] * 30)
+        assert transport.value().count(b"HTTP/1.1 404") == 3_000
+
+    def test_body_in_small_chunks_is_read_in_several_turns(self) -> None:
+        clock = Clock()
+        received: list = []
+        factory = ServerFactory(
+            lambda request, responder: received.append(request.body),
+            self.LIMITS,
+            clock.seconds,
+        )
+        connection = ServerConnection(factory, clock.callLater)
+        connection.makeConnection(ClosableTransport())
+        connection.dataReceived(
+            b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + b"1\r\nx\r\n" * 9_000
+            + b"0\r\n\r\n"
+        )
+        assert received == []
+        clock.pump([0.0] * FREE_TURNS + [PAUSE_SECONDS] * 30)
+        assert received == [b"x" * 9_000]
+
+    def test_requests_behind_one_in_progress_follow_in_their_order(self) -> None:
+        _, connection, transport = self.connect()
+        connection.dataReceived(CALL)
+        for number in range(50):
+            for part in (b"GET /%d HT" % number, b"TP/1.1\r\nHost: x\r\n\r\n"):
+                connection.dataReceived(part)
+        for number in range(51):
+            self.received.pop(0).reply(200, (), b"%d;" % number)
+        assert transport.value().endswith(b"50;")
+        assert not transport.aborted
+
     def test_refused_caller_that_reads_nothing_is_aborted(self) -> None:
         """A close that waits for pending writes would never end."""
         factory, connection, transport = self.connect()
--- a/wisteriagw/connections/_client_connection.py
+++ b/wisteriagw/connections/_client_connection.py
@@ -10,6 +10,7 @@
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol
 
+from wisteriagw.connections._read_pacer import ReadPacer, call_later
 from wisteriagw.connections._response import Response
 from wisteriagw.connections._response_head import ResponseHead
 
@@ -29,6 +30,8 @@
 # Informational responses and responses to earlier requests before the own one. A server
 # that sends them without end would keep the process busy.
 MAX_OTHER_RESPONSES = 100
+# Bytes of their bodies, which are dropped.
+MAX_OTHER_BYTES = 8_388_608
 
 
 class ClientConnection(Protocol):
@@ -40,6 +43,8 @@
         ``release(connection)`` is called when it can take another request.
     on_close : callable
         ``on_close(connection)`` is called when it is closed.
+    call_later : callable
+        ``call_later(seconds, function)`` calls a function after some seconds.
 
     Attributes
     ----------
@@ -51,6 +56,7 @@
         self,
         release: Callable[[ClientConnection], None],
         on_close: Callable[[ClientConnection], None],
+        call_later: Callable[[float, Callable[[], None]], Any] = call_later,
     ) -> None:
         self.last_head: ResponseHead | None = None
         self.idle_seconds = DEFAULT_IDLE_SECONDS
@@ -62,6 +68,12 @@
         self._http = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
         self._other_responses = 0
+        self._other_bytes = 0
+        self._pacer = ReadPacer(self._resume_parsing, call_later)
+        self._reading = True
+        self._wanted = True
+        # Parts of the body that are handed over at the end of the turn.
+        self._parts: list[bytes] = []
 
     def connectionMade(self) -> None:
         """Disable Nagle's algorithm and enable TCP keep-alive."""
@@ -72,7 +84,7 @@
         self, request: HttpRequest, accepts: Callable[[ResponseHead], bool]
     ) -> Response:
         """Send a request and return its response."""
-        self._other_responses = 0
+        self._other_responses = self._other_bytes = 0
         self.response = Response(accepts, self.close, self._set_reading)
         self._request = h11.Request(
             method=request.method, target=request.target, headers=request.headers
@@ -91,13 +103,18 @@
             # Data that belongs to no request is a protocol error.
             self.close()
             return
-        self._receive(data)
+        self._http.receive_data(data)
+        if not self._pacer.waiting:
+            self._parse()
 
     def connectionLost(self, reason: Failure) -> None:
         """End the response, which is complete if a clean close delimits its body."""
         self.closed = True
-        if self.response is not None and reason.check(ConnectionDone):
-            self._receive(b"")
+        if self.response is not None:
+            if reason.check(ConnectionDone):
+                self._http.receive_data(b"")
+            # What waits for a later turn was received before the loss.
+            self._parse()
         if self.response is not None:
             response, self.response = self.response, None
             response.handle_loss(f"connection lost: {reason.value}")
@@ -108,6 +125,7 @@
         if self.skipping:
             self._restart_parser()
             return
+        self.flush_parts()
         response, self.response = self.response, None
         trailing, _ = self._http.trailing_data
         reusable = (
@@ -124,6 +142,25 @@
         if reusable:
             self._release(self)
 
+    def add_part(self, data: bytes) -> None:
+        """Add a part of the current response's body."""
+        if not self.closed:
+            self._pacer.count_part()
+        if not self.skipping:
+            self._parts.append(data)
+            return
+        self._other_bytes += len(data)
+        if self._other_bytes > MAX_OTHER_BYTES:
+            raise h11.RemoteProtocolError("too long a response before the own one")
+
+    def flush_parts(self) -> None:
+        """Hand over the parts of the body, so that their reader wakes up once."""
+        if not self._parts:
+            return
+        parts, self._parts = self._parts, []
+        if self.response is not None:
+            self.response.handle_part(b"".join(parts), len(parts))
+
     def count_other_response(self) -> None:
         """Count a response that is not the own one; fails if there are too many."""
         self._other_responses += 1
@@ -138,28 +175,44 @@
             self.idle_seconds = int(found[1]) * IDLE_TIMEOUT_FRACTION
 
     def _set_reading(self, reading: bool) -> None:
-        if self.closed:
+        self._wanted = reading
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        reading = self._wanted and not self._pacer.waiting
+        if self.closed or reading is self._reading:
             return
+        self._reading = reading
         if reading:
             self.transport.resumeProducing()
         else:
             self.transport.pauseProducing()
 
+    def _resume_parsing(self) -> None:
+        if not self.closed and self.response is not None:
+            self._parse()
+        self._update_reading()
+
     def _encode(self, body: bytes) -> bytes:
         data = self._http.send(self._request)
         if body:
             data += self._http.send(h11.Data(data=body))
         return data + self._http.send(h11.EndOfMessage())
 
-    def _receive(self, data: bytes) -> None:
+    def _parse(self) -> None:
+        self._pacer.start_turn()
         try:
-            self._http.receive_data(data)
             while self.response is not None:
+                if self._pacer.waiting and not self.closed:
+                    break
                 event = self._http.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
-                    return
+                    break
                 handle_event(event, self)
+            self.flush_parts()
+            self._update_reading()
         except h11.RemoteProtocolError as error:
+            self.flush_parts()
             response, self.response = self.response, None
             self.close()
             if response is not None:
@@ -217,8 +270,7 @@
 
 @handle_event.register(h11.Data)
 def _(event: h11.Data, connection: ClientConnection) -> None:
-    if not connection.skipping:
-        connection.response.handle_part(bytes(event.data))
+    connection.add_part(bytes(event.data))
 
 
 @handle_event.register(h11.EndOfMessage)
--- a/wisteriagw/connections/_connection_pool.py
+++ b/wisteriagw/connections/_connection_pool.py
@@ -122,6 +122,7 @@
         connection = ClientConnection(
             lambda used: self._release(address, used),
             lambda closed: self._remove(address, closed),
+            self._reactor.callLater,
         )
         try:
             await connectProtocol(endpoint, connection)
--- a/wisteriagw/connections/_response.py
+++ b/wisteriagw/connections/_response.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import Deferred
@@ -31,6 +30,8 @@
     accepts : callable
         Whether a response with the given head belongs to the request; others are
         skipped.
+    parts_read : int
+        Parts of the body, such as chunks, that were read.
     """
 
     def __init__(
@@ -44,9 +45,11 @@
         self.ended = False
         self._abort = abort
         self._set_reading = set_reading
+        self.parts_read = 0
         self._queued_bytes = 0
+        self._queued_parts = 0
         self._paused = False
-        self._parts: deque[bytes] = deque()
+        self._queue: list[bytes] = []
         self._error: Exception | None = None
         self._waiting: Deferred[None] | None = None
 
@@ -59,21 +62,21 @@
         return self.head
 
     async def read_part(self) -> bytes | None:
-        """Return the next part of the body, or None at its end.
+        """Return what has arrived of the body, or None at its end.
 
         Raises ResponseLostError if the connection is lost before the end.
         """
-        while not self._parts:
+        while not self._queue:
             if self.ended:
                 return None
             if self._error is not None:
                 raise self._error
             await self._wait()
-        part = self._parts.popleft()
-        self._queued_bytes -= len(part)
-        if self._queued_bytes <= MAX_QUEUED_BYTES:
-            self._resume()
-        return part
+        queue, self._queue = self._queue, []
+        self.parts_read += self._queued_parts
+        self._queued_bytes = self._queued_parts = 0
+        self._resume()
+        return queue[0] if len(queue) == 1 else b"".join(queue)
 
     async def read_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
         """Return the rest of the body.
@@ -103,10 +106,11 @@
         self.head = head
         self._wake()
 
-    def handle_part(self, data: bytes) -> None:
-        """Queue a part of the body received by the connection."""
-        self._parts.append(data)
+    def handle_part(self, data: bytes, parts: int = 1) -> None:
+        """Queue a part of the body, or several joined ones."""
+        self._queue.append(data)
         self._queued_bytes += len(data)
+        self._queued_parts += parts
         if not self._paused and self._queued_bytes > MAX_QUEUED_BYTES:
             self._paused = True
             self._set_reading(False)
--- a/wisteriagw/connections/_server_connection.py
+++ b/wisteriagw/connections/_server_connection.py
@@ -10,14 +10,20 @@
 from twisted.internet.protocol import Protocol
 
 from wisteriagw.connections._http_request import HttpRequest
+from wisteriagw.connections._read_pacer import ReadPacer, call_later
 from wisteriagw.connections._responder import Responder
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from twisted.python.failure import Failure
 
     from wisteriagw.connections._server_factory import ServerFactory
 
 CONTINUE = 100
+# Data behind a request is parsed in pieces, since each request in it copies the rest of
+# its piece.
+PARSED_BYTES = 65_536
 
 
 class ServerConnection(Protocol):
@@ -31,7 +37,11 @@
         Whether a request has been received in part.
     """
 
-    def __init__(self, server: ServerFactory) -> None:
+    def __init__(
+        self,
+        server: ServerFactory,
+        call_later: Callable[[float, Callable[[], None]], Any] = call_later,
+    ) -> None:
         self.waiting_since = server.clock()
         self.reading = False
         self.responder: Responder | None = None
@@ -46,6 +56,10 @@
         self._streaming = False
         self._writing_paused = False
         self._waiting_writer: Deferred[None] | None = None
+        self._pacer = ReadPacer(self._resume_parsing, call_later)
+        # Data that arrived behind the request in progress.
+        self._unread = bytearray()
+        self._parsing = False
 
     def connectionMade(self) -> None:
         """Register the connection and disable Nagle's algorithm."""
@@ -60,13 +74,16 @@
             self.reading = True
             if self.responder is None:
                 self.waiting_since = self._server.clock()
-        self._http.receive_data(data)
-        if self.responder is not None and self._is_buffer_full():
-            # The requests that follow the one in progress are kept unread; a caller
-            # may send bytes without end.
-            self.transport.abortConnection()
+        if self.responder is None and not self._unread:
+            self._http.receive_data(data)
+            self._parse()
             return
-        self._read_events()
+        # A caller may send bytes without end.
+        self._unread += data
+        limits = self._server.limits
+        if len(self._unread) > limits.max_header_bytes + limits.max_body_bytes:
+            self._unread.clear()
+            self.transport.abortConnection()
 
     def connectionLost(self, reason: Failure) -> None:
         """Notify the request in progress that its caller disconnected."""
@@ -130,8 +147,8 @@
             self.close()
             return
         self._http.start_next_cycle()
-        self.reading = bool(self._http.trailing_data[0])
-        self._read_events()
+        self.reading = bool(self._unread or self._http.trailing_data[0])
+        self._parse()
 
     def handle_head(self, event: h11.Request) -> None:
         """Store the head of a request and check its framing and target."""
@@ -150,6 +167,7 @@
 
     def handle_data(self, data: bytes) -> None:
         """Store a part of a request's body, within the size limit."""
+        self._pacer.count_part()
         self._body_bytes += len(data)
         if self._body_bytes > self._server.limits.max_body_bytes:
             self._refuse(413)
@@ -158,6 +176,7 @@
 
     def handle_end(self) -> None:
         """Pass a complete request to the handler."""
+        self._pacer.count_part()
         head, self._head = self._head, None
         self.reading = False
         self.responder = Responder(self)
@@ -175,13 +194,37 @@
             self._streaming = False
             self.transport.unregisterProducer()
 
-    def _is_buffer_full(self) -> bool:
-        limits = self._server.limits
-        unread, _ = self._http.trailing_data
-        return len(unread) > limits.max_header_bytes + limits.max_body_bytes
+    def _resume_parsing(self) -> None:
+        if self in self._server.connections:
+            self.transport.resumeProducing()
+            self._parse()
+
+    def _parse(self) -> None:
+        """Handle received data up to the end of a request or of the turn.
+
+        A request that is answered at once is followed by the next one in the same loop,
+        not in a nested one.
+        """
+        if self._parsing or self._pacer.waiting:
+            return
+        self._parsing = True
+        self._pacer.start_turn()
+        try:
+            self._read_events()
+            while self._unread and self._wants_data():
+                self._http.receive_data(bytes(self._unread[:PARSED_BYTES]))
+                del self._unread[:PARSED_BYTES]
+                self._read_events()
+        finally:
+            self._parsing = False
+        if self._pacer.waiting:
+            self.transport.pauseProducing()
+
+    def _wants_data(self) -> bool:
+        return not (self._refused or self._pacer.waiting or self.responder is not None)
 
     def _read_events(self) -> None:
-        while not self._refused:
+        while not self._refused and not self._pacer.waiting:
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
--- a/wisteriagw/entry/_event_reader.py
+++ b/wisteriagw/entry/_event_reader.py
@@ -42,7 +42,8 @@
     def __init__(self, relay: Any, position: StreamPosition) -> None:
         self._relay = relay
         self._attempt = position.attempt
-        self._buffer = b""
+        # A bytearray grows in place; bytes would be copied with each chunk.
+        self._buffer = bytearray()
         self._end: StreamEnd | None = None
         self._closed = False
         self._set_next(position.next_index)
@@ -69,7 +70,12 @@
             self._set_next(self._next_index + 1)
             self._relay.write_tokens([event])
             return
-        *events, self._buffer = (self._buffer + data).split(EVENT_END)
+        searched = max(0, len(self._buffer) - len(EVENT_END) + 1)
+        self._buffer += data
+        events: list[bytes] = []
+        if self._buffer.find(EVENT_END, searched) >= 0:
+            *events, rest = bytes(self._buffer).split(EVENT_END)
+            self._buffer = bytearray(rest)
         ready: list[bytes] = []
         try:
             for event in events:
--- a/wisteriagw/gateway/_event_splitter.py
+++ b/wisteriagw/gateway/_event_splitter.py
@@ -12,6 +12,9 @@
 MAX_EVENT_END_BYTES = 4
 # A server may send an event without end; tokens need a tiny part of this.
 MAX_EVENT_BYTES = 1_048_576
+# Parts of a body, such as chunks, that one event may come in. Servers write an event at
+# once; each part costs time, however small it is.
+MAX_EVENT_PARTS = 1_024
 
 
 class EventSplitter:
@@ -25,20 +28,34 @@
 
     def __init__(self, last_id: int | None = None) -> None:
         self.last_id = last_id
-        self._buffer = b""
+        # A bytearray grows in place; bytes would be copied with each chunk.
+        self._buffer = bytearray()
+        self._parts = 0
 
-    def feed(self, data: bytes) -> bytes:
+    def feed(self, data: bytes, parts: int = 1) -> bytes:
         """Return the events that a chunk completes, without those passed on before.
 
-        Raises ResponseLostError if an event exceeds ``MAX_EVENT_BYTES``.
+        Parameters
+        ----------
+        data : bytes
+            Data of the chunk, or of several joined ones.
+        parts : int
+            Number of chunks in ``data``.
+
+        Raises
+        ------
+        ResponseLostError
+            If an event exceeds ``MAX_EVENT_BYTES`` or ``MAX_EVENT_PARTS``.
         """
         searched = max(0, len(self._buffer) - MAX_EVENT_END_BYTES)
         self._buffer += data
+        self._parts += parts
         end = 0
         complete: list[bytes] = []
-        for match in EVENT_END.finditer(self._buffer, searched):
-            event = self._buffer[end : match.end()]
-            end = match.end()
+        # The ends are listed first: a buffer that is searched cannot be cut.
+        for found in [m.end() for m in EVENT_END.finditer(self._buffer, searched)]:
+            event = bytes(self._buffer[end:found])
+            end = found
             id_match = EVENT_ID.search(event)
             if id_match:
                 number = int(id_match[1])
@@ -46,12 +63,17 @@
                     continue
                 self.last_id = number
             complete.append(event)
-        self._buffer = self._buffer[end:]
+        if end:
+            del self._buffer[:end]
+            self._parts = 0
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise ResponseLostError(f"event exceeds {MAX_EVENT_BYTES} bytes")
+        if self._parts > MAX_EVENT_PARTS:
+            raise ResponseLostError(f"event in more than {MAX_EVENT_PARTS} parts")
         return b"".join(complete)
 
     def pop_incomplete(self) -> bytes:
         """Return the bytes after the last complete event, and clear the buffer."""
-        incomplete, self._buffer = self._buffer, b""
+        incomplete, self._buffer = bytes(self._buffer), bytearray()
+        self._parts = 0
         return incomplete
--- a/wisteriagw/gateway/_request_exchange.py
+++ b/wisteriagw/gateway/_request_exchange.py
@@ -164,11 +164,13 @@
         # The continued stream repeats the event that was cut, so drop its fragment.
         self._splitter.pop_incomplete()
         progress_at = self._context.reactor.seconds()
+        parts_read = response.parts_read
         while True:
             part = await self._forwarder.read_part(response, progress_at)
             if part is None:
                 break
-            events = self._splitter.feed(part)
+            events = self._splitter.feed(part, response.parts_read - parts_read)
+            parts_read = response.parts_read
             if not events:
                 continue
             progress_at = self._context.reactor.seconds()
