End work that is cancelled while it connects (GONE)

Seen: streams whose callers had left while the gateway connected to a dark engine were sent to another one, which worked on each of them to its end. A process with a silent store did not end after SIGTERM.

Cause: Twisted's endpoints fail with ConnectingCancelledError when their connect is cancelled, which is no CancelledError; the pool took it for a connection that failed, and the work went on to its next step. Nothing cancels twice.

Fix: the pool raises CancelledError.

Ruled out: a close that is not noticed, and another task that takes the request up: on the code before, the attempt_failed line with the reason ConnectingCancelledError and the next placement are written at the moment of the close, by the same coroutine.

--- a/wisteriagw/connections/_connection_pool.py
+++ b/wisteriagw/connections/_connection_pool.py
@@ -6,7 +6,7 @@
 
 from twisted.internet.defer import CancelledError
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
-from twisted.internet.error import ConnectionRefusedError
+from twisted.internet.error import ConnectingCancelledError, ConnectionRefusedError
 
 from wisteriagw.connections._client_connection import ClientConnection
 from wisteriagw.connections._connect_failed import ConnectFailedError
@@ -128,6 +128,9 @@
             await connectProtocol(endpoint, connection)
         except CancelledError:
             raise
+        except ConnectingCancelledError as error:
+            # An endpoint reports its cancellation with an error of its own.
+            raise CancelledError from error
         except Exception as error:
             raise ConnectFailedError(f"{type(error).__name__}: {error}") from error
         self.opened += 1
