--- a/wisteriagw/connections/_server_connection.py
+++ b/wisteriagw/connections/_server_connection.py
@@ -229,18 +229,17 @@
             self._parse()
 
     def _parse(self) -> None:
-        """Handle received data up to the end of a request or of the turn.
-
-        A request that is answered at once is followed by the next one in the same loop,
-        not in a nested one.
-        """
+        """Handle received data up to the end of a request or of the turn."""
+        # The end of a response that is written at once does not nest another loop.
         if self._parsing or self._pacer.waiting:
             return
         self._parsing = True
         self._pacer.start_turn()
         try:
             self._read_events()
-            while self._unread and self._wants_data():
+            while self._unread and self.responder is None:
+                if self._refused or self._pacer.waiting:
+                    break
                 self._http.receive_data(bytes(self._unread[:PARSED_BYTES]))
                 del self._unread[:PARSED_BYTES]
                 self._count()
@@ -250,9 +249,6 @@
         if self._pacer.waiting:
             self.transport.pauseProducing()
 
-    def _wants_data(self) -> bool:
-        return not (self._refused or self._pacer.waiting or self.responder is not None)
-
     def _read_events(self) -> None:
         while not self._refused and not self._pacer.waiting:
             try:
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -11,14 +11,14 @@
 from twisted.internet.task import LoopingCall, deferLater
 
 from wisteriagw.clocks import SteadyWallClock, read_wall_time
-from wisteriagw.connections import (
-    BufferBudget,
-    CallClient,
-    ConnectionPool,
-    ServerFactory,
-)
+from wisteriagw.connections import CallClient, ConnectionPool, ServerFactory
 from wisteriagw.eras import EraTracker
 from wisteriagw.gateway._authority_duties import AuthorityDuties
+from wisteriagw.gateway._buffer_budgets import (
+    ANSWERS_FRACTION,
+    REQUESTS_FRACTION,
+    build_budget,
+)
 from wisteriagw.gateway._cache_survey import CacheSurvey
 from wisteriagw.gateway._configuration_feed import ConfigurationFeed
 from wisteriagw.gateway._context import GatewayContext
@@ -28,6 +28,7 @@
 from wisteriagw.gateway._directory_handler import ADDRESS_TTL_SECONDS, DirectoryHandler
 from wisteriagw.gateway._engine_rate_table import EngineRateTable
 from wisteriagw.gateway._fleet_feed import FleetFeed, find_read_wait
+from wisteriagw.gateway._gauges import update_gauges
 from wisteriagw.gateway._lost_usage_writer import LostUsageWriter
 from wisteriagw.gateway._member import build_member, format_address
 from wisteriagw.gateway._members import Members
@@ -67,13 +68,6 @@
 # they may cache it.
 LINGER_FACTOR = 3.0
 LISTEN_BACKLOG = 512
-# Parts of the machine's memory for the bodies of answers and requests that are being
-# received; an idle process takes a quarter of the smallest machine's.
-ANSWERS_FRACTION = 0.25
-REQUESTS_FRACTION = 0.125
-BYTES_PER_MB = 1_000_000
-# Age in metrics before the first read.
-MAX_AGE_SECONDS = 1e6
 
 
 class Node:
@@ -289,25 +283,6 @@
         self._directory.close_idle()
         context.crashing_parts.expire()
         context.notices.expire(context.fleet.fleet.servers)
-        for kind, count in context.notices.count_in_force().items():
-            context.metrics.server_notices.labels(kind).set(count)
         vms = len(self._members.list_alive(self._reactor.seconds()))
         context.budgets.set_vm_count(max(vms, len(self._members.entries)))
-        context.metrics.vms.set(vms)
-        context.metrics.store_restores.set(context.eras.restores)
-        context.metrics.backend_servers.set(len(context.fleet.fleet.servers))
-        age = min(context.configuration.get_age(), MAX_AGE_SECONDS)
-        context.metrics.configuration_age.set(age)
-        for side, budget in (
-            ("answers", context.pool.budget),
-            ("requests", self._front.budget),
-        ):
-            context.metrics.buffered_bytes.labels(side).set(budget.used)
-            context.metrics.dropped_buffers.labels(side).set(budget.dropped)
-        age = self._reactor.seconds() - context.fleet.follower.read_at
-        context.metrics.register_age.set(min(age, MAX_AGE_SECONDS))
-
-
-def build_budget(settings: NodeSettings, fraction: float) -> BufferBudget:
-    """Return a budget of a part of the machine's memory."""
-    return BufferBudget(settings.memory_mb * BYTES_PER_MB * fraction)
+        update_gauges(context, vms, self._front.budget)
--- a/wisteriagw/gateway/_request_exchange.py
+++ b/wisteriagw/gateway/_request_exchange.py
@@ -11,12 +11,11 @@
 from wisteriagw.gateway._event_splitter import EventSplitter
 from wisteriagw.gateway._request_forwarder import (
     MIN_SERVER_ERROR_STATUS,
-    QUEUE_TOO_LONG,
     RequestForwarder,
 )
+from wisteriagw.gateway._request_times import find_retry_after, find_timeout
 from wisteriagw.gateway._server_access import ServerAccess
 from wisteriagw.outcomes import Answering, MayHaveRun, RefusedNotRun
-from wisteriagw.placement import spread_return
 from wisteriagw.platform import encode_refusal, filter_headers, is_event_stream
 from wisteriagw.retries import Attempts, decide_retry, record_attempt
 
@@ -25,13 +24,10 @@
     from wisteriagw.gateway._context import GatewayContext
     from wisteriagw.outcomes import Outcome
     from wisteriagw.platform import CallerRequest
-    from wisteriagw.routes import Admitted, Route
+    from wisteriagw.routes import Admitted
 
 logger = logging.getLogger(__name__)
 
-# Callers honour a Retry-After of up to a third of their remaining time.
-RETRY_AFTER_FRACTION = 0.25
-MAX_RETRY_AFTER_SECONDS = 0.3
 LINE_BREAKS = b"\r\n"
 
 
@@ -230,11 +226,7 @@
 
     def _find_retry_after(self, outcome: Outcome | None = None) -> float:
         left = max(0.0, self._deadline - self._context.reactor.seconds())
-        if isinstance(outcome, RefusedNotRun) and outcome.retry_after is not None:
-            return outcome.retry_after
-        if outcome is QUEUE_TOO_LONG:
-            return spread_return(left, self._context.draw())
-        return min(MAX_RETRY_AFTER_SECONDS, left * RETRY_AFTER_FRACTION)
+        return find_retry_after(outcome, left, self._context.draw)
 
     def _refuse(
         self, status: int, code: str, reason: str, retry_after: float | None = None
@@ -303,10 +295,3 @@
 
 def _ignore() -> None:
     """Do nothing when the caller of a request that has ended disconnects."""
-
-
-def find_timeout(route: Route, caller: CallerRequest) -> float:
-    """Return the seconds within which a request gets its final answer."""
-    if caller.timeout is None:
-        return route.timeout
-    return min(route.timeout, caller.timeout)
--- a/wisteriagw/gateway/_request_forwarder.py
+++ b/wisteriagw/gateway/_request_forwarder.py
@@ -10,7 +10,6 @@
 from wisteriagw.gateway._engine_unreachable import EngineUnreachableError
 from wisteriagw.gateway._loss_detector import LossDetector
 from wisteriagw.gateway._prompt_prefill import PromptPrefill
-from wisteriagw.gateway._run_copy import RunCopy
 from wisteriagw.gateway._run_stopper import RunStopper
 from wisteriagw.gateway._work_reservation import WorkReservation
 from wisteriagw.outcomes import Answering, FailedNotRun, MayHaveRun, RefusedNotRun
@@ -19,6 +18,7 @@
 if TYPE_CHECKING:
     from wisteriagw.connections import Response, ResponseHead
     from wisteriagw.fleet import BackendServer
+    from wisteriagw.gateway._run_copy import RunCopy
     from wisteriagw.gateway._server_access import ServerAccess
     from wisteriagw.outcomes import Outcome
     from wisteriagw.platform import ForwardingTerms
@@ -70,8 +70,7 @@
         self._running: BackendServer | None = None
         self._unreachable = False
         self._backup: BackendServer | None = None
-        # Where the run that was lost goes on; None while it may go on at its engine.
-        self._copy: RunCopy | None = None
+        self._run_copy: RunCopy | None = None
 
     async def attempt(
         self, excluded: tuple[str, ...], last_event: int | None
@@ -128,18 +127,18 @@
 
     def has_backup(self) -> bool:
         """Return whether another engine may keep a copy of the run that was lost."""
-        return self._backup is not None and self._takes_run(self._backup)
+        backup = self._backup
+        return backup is not None and self._access.notices.permit_lifetime(backup)
 
     async def stop_lost_run(self) -> bool:
         """Make sure that the lost run has ended; return whether it can be continued."""
         self.close()
-        server, backup = self._running, self._backup
-        if self._unreachable:
-            source = (backup.address, self._access.caller.request_id)
-            self._copy = RunCopy(backup, source)
-        else:
-            self._copy = await RunStopper(self._access).stop(server, backup)
-        return self._copy is not None and self._takes_run(self._copy.server)
+        stopper = RunStopper(self._access, self._backup)
+        copy = stopper.get_backup_copy()
+        if not self._unreachable:
+            copy = await stopper.stop(self._running)
+        self._run_copy = copy
+        return copy is not None and self._access.notices.permit_lifetime(copy.server)
 
     async def continue_run(self, last_event: int | None) -> Outcome:
         """Continue the run that was stopped where its KV cache is kept.
@@ -147,8 +146,8 @@
         The engine refuses it if no copy arrived before the loss.
         """
         self.close()
-        access, (server, source) = self._access, self._copy
-        self._backup = self._copy = None
+        access, (server, source) = self._access, self._run_copy
+        self._backup = self._run_copy = None
         refusal = access.find_quarantine()
         if refusal is not None:
             self.server = ""
@@ -223,13 +222,6 @@
             self._reservation = None
         self._prefill.release()
 
-    def _takes_run(self, server: BackendServer) -> bool:
-        """Return whether an engine lives on and takes requests."""
-        known = self._access.context.fleet.fleet.servers.get(server.name)
-        if known is None or known.born != server.born:
-            return False
-        return self._access.notices.permit(known)
-
     def _find_resume_point(self, last_event: int | None) -> int | None:
         """Return the last event if it is later than the one that the caller named."""
         return last_event if last_event != self._access.caller.last_event else None
--- a/wisteriagw/gateway/_request_handler.py
+++ b/wisteriagw/gateway/_request_handler.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from wisteriagw.gateway._request_exchange import RequestExchange, find_timeout
+from wisteriagw.gateway._request_exchange import RequestExchange
+from wisteriagw.gateway._request_times import find_timeout
 from wisteriagw.platform import decode_caller_request, encode_refusal
 from wisteriagw.routes import Denied, can_end_before_exit, decide_admission
 
--- a/wisteriagw/gateway/_run_stopper.py
+++ b/wisteriagw/gateway/_run_stopper.py
@@ -22,14 +22,18 @@
     if it does not confirm the stop, the run counts as going on.
     """
 
-    def __init__(self, access: ServerAccess) -> None:
+    def __init__(self, access: ServerAccess, backup: BackendServer) -> None:
         self._access = access
+        self._backup = backup
 
-    async def stop(
-        self, server: BackendServer, backup: BackendServer
-    ) -> RunCopy | None:
+    def get_backup_copy(self) -> RunCopy:
+        """Return the copy that the backup keeps of a run that has ended."""
+        source = (self._backup.address, self._access.caller.request_id)
+        return RunCopy(self._backup, source)
+
+    async def stop(self, server: BackendServer) -> RunCopy | None:
         """Return where the run can go on, or None if it may go on at its engine."""
-        copy, evidence = await self._stop(server, backup)
+        copy, evidence = await self._stop(server)
         self._access.context.log.write(
             "lost_run",
             request_id=self._access.caller.request_id,
@@ -40,25 +44,23 @@
         )
         return copy
 
-    async def _stop(
-        self, server: BackendServer, backup: BackendServer
-    ) -> tuple[RunCopy | None, str]:
-        context, request_id = self._access.context, self._access.caller.request_id
-        kept = RunCopy(backup, (backup.address, request_id))
-        engine = self._access.service.engine
+    async def _stop(self, server: BackendServer) -> tuple[RunCopy | None, str]:
+        access = self._access
+        engine = access.service.engine
         if engine is None or not engine.moves_runs:
-            return await self._check(server, kept)
-        outcome = await context.engines.stop_run(server, request_id, backup.address)
+            return await self._check(server)
+        outcome = await access.context.engines.stop_run(
+            server, access.caller.request_id, self._backup.address
+        )
         if isinstance(outcome, FailedNotRun):
-            return await self._check(server, kept)
-        return locate_run(outcome, server, kept)
+            return await self._check(server)
+        return locate_run(outcome, server, self.get_backup_copy())
 
-    async def _check(
-        self, server: BackendServer, kept: RunCopy
-    ) -> tuple[RunCopy | None, str]:
+    async def _check(self, server: BackendServer) -> tuple[RunCopy | None, str]:
         """Take an engine that accepts no connection for ended."""
         found = await self._access.context.pool.probe(server.address)
-        return None if found is Reachability.OPEN else kept, found.value
+        ended = found is not Reachability.OPEN
+        return self.get_backup_copy() if ended else None, found.value
 
 
 @singledispatch
--- a/wisteriagw/gateway/notices/_request_notices.py
+++ b/wisteriagw/gateway/notices/_request_notices.py
@@ -42,6 +42,13 @@
         now = self._context.reactor.seconds()
         return not self._context.notices.table.find_pause(server, now)
 
+    def permit_lifetime(self, server: BackendServer) -> bool:
+        """Return whether a server has not restarted, and takes requests."""
+        known = self._context.fleet.fleet.servers.get(server.name)
+        if known is None or known.born != server.born:
+            return False
+        return self.permit(known)
+
     def refuse(
         self, servers: Iterable[BackendServer], deadline: float
     ) -> RefusedNotRun | None:
