Sum state rows of all VMs through the relays

Cause: customers' quotas, server speeds and demand need numbers of all VMs, and each would have needed a message path of its own. Change: the package sums, and a field sums at the end of the three updates. Rows are states, so lost and repeated updates have no lasting effect.

--- a/tests/support/_gateway_fixture.py
+++ b/tests/support/_gateway_fixture.py
@@ -40,6 +40,7 @@
     index_routes,
 )
 from wisteriagw.standins import TopicStore
+from wisteriagw.sums import SumTable
 
 SETTINGS = SimpleNamespace(
     vm="vm-1",
@@ -200,6 +201,7 @@
         self.store = TopicStore()
         self.pool = ScriptedPool()
         self.work = WorkTable()
+        self.sums = SumTable()
         self.configuration = ConfigurationFeed(
             self.clock, self.store, 5.0, lambda table: None
         )
@@ -243,6 +245,7 @@
             lambda: 0.5,
             self.store.eras,
             EngineClient(CallClient(self.clock, self.pool)),
+            self.sums,
         )
         self.handler = RequestHandler(self.context)
 
--- a/tests/support/_simulated_fleet.py
+++ b/tests/support/_simulated_fleet.py
@@ -21,6 +21,7 @@
 from wisteriagw.messages import decode_message, encode_message
 from wisteriagw.placement import WorkTable
 from wisteriagw.standins import TopicStore
+from wisteriagw.sums import SumTable
 
 STEP_SECONDS = 0.05
 LINK_SECONDS = 0.05
@@ -79,6 +80,7 @@
         self.mesh = SimulatedLinks(fleet, vm)
         self.store = TopicStore()
         self.work = WorkTable()
+        self.sums = SumTable()
         self.configuration = ConfigurationFeed(
             self.clock, self.store, 5.0, lambda table: None
         )
@@ -102,6 +104,7 @@
             configuration=self.configuration,
             fleet=self.fleet,
             work=self.work,
+            sums=self.sums,
             usage=self.usage,
             pending_updates=PendingUpdates(self.usage),
             crashing_parts=self.crashing_parts,
--- a/wisteriagw/gateway/_context.py
+++ b/wisteriagw/gateway/_context.py
@@ -22,6 +22,7 @@
     from wisteriagw.gateway.notices import NoticeBoard
     from wisteriagw.placement import WorkTable
     from wisteriagw.platform import EngineClient, NodeSettings
+    from wisteriagw.sums import SumTable
 
 
 class GatewayContext(NamedTuple):
@@ -45,3 +46,4 @@
     draw: Callable[[], float]
     eras: EraTracker
     engines: EngineClient
+    sums: SumTable
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -46,6 +46,7 @@
 from wisteriagw.placement import WorkTable
 from wisteriagw.platform import EngineClient, StoreClient
 from wisteriagw.routes import CallerLimits, Stop
+from wisteriagw.sums import SumTable
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -236,6 +237,7 @@
             random.random,
             store.eras,
             engines,
+            SumTable(),
         )
 
     def _build_directory(self) -> ServerFactory:
--- a/wisteriagw/gateway/_sent_update.py
+++ b/wisteriagw/gateway/_sent_update.py
@@ -14,7 +14,10 @@
         Time at which it was sent.
     work : tuple
         Its rows of backend server, waiting prompt tokens and streams.
+    sums : tuple
+        Its rows of table, key and numbers.
     """
 
     at: float
     work: tuple
+    sums: tuple = ()
--- a/wisteriagw/gateway/_sent_update_log.py
+++ b/wisteriagw/gateway/_sent_update_log.py
@@ -15,17 +15,17 @@
 
 
 class SentUpdateLog:
-    """Keeps the time and the work rows of sent updates by sequence number."""
+    """Keeps the time and the rows of sent updates by sequence number."""
 
     def __init__(self, vm: str) -> None:
         self._vm = vm
         self._sequence = 0
         self._updates: OrderedDict[int, SentUpdate] = OrderedDict()
 
-    def add(self, work: tuple, now: float) -> int:
+    def add(self, work: tuple, sums: tuple, now: float) -> int:
         """Add an update that is sent now and return its sequence number."""
         self._sequence += 1
-        self._updates[self._sequence] = SentUpdate(now, work)
+        self._updates[self._sequence] = SentUpdate(now, work, sums)
         if len(self._updates) > KEPT_UPDATES:
             self._updates.popitem(last=False)
         return self._sequence
--- a/wisteriagw/gateway/_update_exchange.py
+++ b/wisteriagw/gateway/_update_exchange.py
@@ -112,7 +112,9 @@
         """Send an update now and after each update interval."""
         self.send()
         interval = find_update_interval(self._count_peers())
-        self._context.work.peer_work_valid_seconds = PEER_WORK_INTERVALS * interval
+        valid_seconds = PEER_WORK_INTERVALS * interval
+        self._context.work.peer_work_valid_seconds = valid_seconds
+        self._context.sums.valid_seconds = valid_seconds
         timeout = max(SUSPICION_TIMEOUT_SECONDS, SUSPICION_TIMEOUT_INTERVALS * interval)
         self._tracker.failure_detector.suspicion_timeout = timeout
         self._members.liveness_timeout = max(
--- a/wisteriagw/gateway/_update_receiver.py
+++ b/wisteriagw/gateway/_update_receiver.py
@@ -13,6 +13,7 @@
     RelayUpdate,
 )
 from wisteriagw.platform import StoreRecord
+from wisteriagw.sums import subtract_rows
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -82,6 +83,7 @@
         self._members.record_seen(sender, update.ready, now)
         self._members.record_start(sender, now - update.uptime)
         self._context.work.apply_peer_work(sender, update.work, now)
+        self._context.sums.apply_peer_rows(sender, update.sums, now)
         self._copies.record_counts(sender, update.incarnation, update.usage, now)
         self._initial_state.record_process(sender, update.incarnation)
         self._queues.for_relays.add(self._forward(update, now))
@@ -95,6 +97,7 @@
         if update.data_centre != self._data_centre:
             key = f"data centre {update.data_centre}"
             self._context.work.apply_peer_work(key, update.work, now)
+            self._context.sums.apply_peer_rows(key, update.sums, now)
         self._copies.record_counts(sender, update.incarnation, update.usage, now)
         self._initial_state.record_process(sender, update.incarnation)
         self._forward(update, now)
@@ -110,6 +113,10 @@
         self._members.record_start(sender, now - update.uptime)
         found = self._sent.find(update.received)
         own = found[0].work if found else self._context.work.list_own_work()
+        own_sums = found[0].sums if found else self._context.sums.list_own(now)
+        self._context.sums.apply_peer_rows(
+            ALL_VMS_KEY, subtract_rows(update.sums, own_sums), now
+        )
         self._context.work.apply_peer_work(
             ALL_VMS_KEY, subtract_work(update.work, own), now
         )
--- a/wisteriagw/gateway/_update_sender.py
+++ b/wisteriagw/gateway/_update_sender.py
@@ -52,18 +52,19 @@
         """Send what has changed since the last updates."""
         deltas = self._pop_own_deltas(now)
         usage = self._context.pending_updates.pop_due_usage(now)
+        sums = self._context.sums.list_own(now)
         if peers.is_relay:
             self._queues.for_relays.add(deltas)
             self._queues.for_served_vms.add(deltas)
             earliest = self._members.find_earliest_start(now)
             oldest = now - min(self._started_at, earliest)
-            self._send_relay_update(peers, usage, oldest, now)
-            self._send_fleet_update(peers, oldest, now)
+            self._send_relay_update(peers, usage, sums, oldest, now)
+            self._send_fleet_update(peers, sums, oldest, now)
             deltas = Deltas()
         else:
             # Only relays distribute register changes; other VMs discard theirs.
             self._context.fleet.pop_changes()
-        self._send_gateway_update(peers, deltas, usage, now)
+        self._send_gateway_update(peers, deltas, usage, sums, now)
 
     def _pop_own_deltas(self, now: float) -> Deltas:
         context = self._context
@@ -72,10 +73,15 @@
         return deltas._replace(results=tuple((*row, self._vm) for row in results))
 
     def _send_gateway_update(
-        self, peers: RelayPeers, deltas: Deltas, usage: tuple, now: float
+        self,
+        peers: RelayPeers,
+        deltas: Deltas,
+        usage: tuple,
+        sums: tuple,
+        now: float,
     ) -> None:
         work = tuple(self._context.work.list_own_work())
-        sequence = self._sent.add(work, now)
+        sequence = self._sent.add(work, sums, now)
         if not peers.relays:
             return
         update = GatewayUpdate(
@@ -87,13 +93,19 @@
             sequence=sequence,
             configuration_version=self._context.configuration.get_version(),
             era=self._context.eras.era,
+            sums=sums,
         )
         # Only one relay forwards the deltas, so that nothing is counted twice.
         self._mesh.send(peers.relays[0], update._replace(**deltas._asdict()))
         self._mesh.multicast(peers.relays[1:], update)
 
     def _send_relay_update(
-        self, peers: RelayPeers, usage: tuple, oldest: float, now: float
+        self,
+        peers: RelayPeers,
+        usage: tuple,
+        sums: tuple,
+        oldest: float,
+        now: float,
     ) -> None:
         served = self._tracker.list_served(now)
         update = RelayUpdate(
@@ -107,11 +119,14 @@
             usage=() if peers.relays else usage,
             configuration_version=self._context.configuration.get_version(),
             era=self._context.eras.era,
+            sums=self._context.sums.sum_rows(sums, now, served),
         )
         self._mesh.multicast(peers.selected_relays, update)
         self._mesh.multicast(peers.reply_peers, update._replace(selected=False))
 
-    def _send_fleet_update(self, peers: RelayPeers, oldest: float, now: float) -> None:
+    def _send_fleet_update(
+        self, peers: RelayPeers, sums: tuple, oldest: float, now: float
+    ) -> None:
         deltas = self._queues.for_served_vms.pop()
         changes = self._context.fleet.pop_changes()
         list_due = self._is_list_due(now)
@@ -137,6 +152,7 @@
             tuple(self._context.work.sum_work(now)),
             *deltas,
             era,
+            self._context.sums.sum_rows(sums, now),
         )
         self._mesh.multicast(peers.served_vms, update)
 
--- a/wisteriagw/messages/_fleet_update.py
+++ b/wisteriagw/messages/_fleet_update.py
@@ -37,6 +37,8 @@
         As in ``GatewayUpdate``, of all VMs.
     era : int
         Era of the store to which the offsets belong.
+    sums : tuple
+        Rows of table, key and numbers, summed over all VMs.
     """
 
     uptime: float
@@ -52,3 +54,4 @@
     unavailable: tuple = ()
     results: tuple = ()
     era: int = 0
+    sums: tuple = ()
--- a/wisteriagw/messages/_gateway_update.py
+++ b/wisteriagw/messages/_gateway_update.py
@@ -39,6 +39,8 @@
         Version that the sender has in force; 0 if none.
     era : int
         Newest era of the store that the sender knows.
+    sums : tuple
+        Rows of table, key and numbers of the sender.
     """
 
     ready: bool
@@ -52,3 +54,4 @@
     sequence: int = 0
     configuration_version: int = 0
     era: int = 0
+    sums: tuple = ()
--- a/wisteriagw/messages/_relay_update.py
+++ b/wisteriagw/messages/_relay_update.py
@@ -34,6 +34,8 @@
         Version that the sender has in force; 0 if none.
     era : int
         Newest era of the store that the sender knows.
+    sums : tuple
+        Rows of table, key and numbers, summed over the data centre.
     """
 
     data_centre: str
@@ -48,3 +50,4 @@
     usage: tuple = ()
     configuration_version: int = 0
     era: int = 0
+    sums: tuple = ()
