Expect the default of each field that was added to a message

Change: the expected bytes are built from the defaults of the message's own type, which must be 0 or empty. The check of all older bytes is unchanged.

--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -78,6 +78,11 @@
 )
 
 
+# Encoded defaults of fields that were added to messages.
+ZERO = b"\x00"
+EMPTY_TUPLE = b"\x80"
+
+
 class Renamed(NamedTuple):
     """Type whose encoded name is not its class name."""
 
@@ -85,11 +90,16 @@
 
 
 def append_new_fields(message: NamedTuple, encoded: str) -> bytes:
-    """Return the bytes with the fields that were added since, all 0, at the end."""
+    """Return the bytes with the defaults of the fields that were added since."""
     count = len(message) + 1
     old = bytes.fromhex(encoded)
     added = 0x80 + count - old[0]
-    return bytes((0x80 + count,)) + old[1:] + bytes(added)
+    defaults = type(message)._field_defaults
+    tail = b""
+    for name in message._fields[len(message) - added :]:
+        assert defaults[name] in (0, ()), name
+        tail += EMPTY_TUPLE if defaults[name] == () else ZERO
+    return bytes((0x80 + count,)) + old[1:] + tail
 
 
 class TestEncodedNames:
