End an idle process within half of the grace time

Cause: a stopping process always lingered for 6 s of the 8 s of grace, three times the longest time for which callers may cache an address, and a stop on a site with little processor time left no reserve before the kill. New: three tests in virtual time, an idle process whose store never answers ends within 4 s.

--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 import pytest
+from twisted.internet.defer import Deferred
 
 from tests.support._gateway_fixture import GatewayFixture
+from wisteriagw.gateway._shutdown_sequence import ShutdownSequence
 from wisteriagw.routes import Stop, can_end_before_exit
 
 GRACE_SECONDS = 7.3
+SETTINGS = SimpleNamespace(shutdown_seconds=8.0, address_seconds=5.0)
 # Requests sent later than this after the signal must not be cut.
 PLATFORM_EARLY_SECONDS = 3.0
 EVENT = b"id: 1\ndata: t\n\n"
@@ -102,3 +107,42 @@
         gateway.pool.sent[-1].reply(200, b"x")
         gateway.handler.end_requests()
         assert (responder.status, responder.body) == (200, b"x")
+
+
+class TestStopDuration:
+    """Idle processes were still there at the end of the grace time, and were killed."""
+
+    def stop(self, busy: float, write: object) -> float:
+        """Return the seconds of a stop with requests open for some seconds."""
+        gateway = StoppingGateway()
+        clock = gateway.clock
+        begun = clock.seconds()
+        front = SimpleNamespace(
+            closing=False, count_busy=lambda: clock.seconds() - begun < busy
+        )
+        sequence = ShutdownSequence(
+            clock, SETTINGS, front, gateway.handler, SimpleNamespace(write=write)
+        )
+        running = Deferred.fromCoroutine(sequence.run(1))
+        while not running.called:
+            gateway.advance(0.1)
+        assert front.closing
+        return clock.seconds() - begun
+
+    async def write_never(self, window: int) -> None:
+        await Deferred()
+
+    async def write_at_once(self, window: int) -> None:
+        return None
+
+    def test_idle_process_ends_soon_although_the_store_does_not_answer(self) -> None:
+        seconds = self.stop(0.0, self.write_never)
+        assert seconds <= SETTINGS.shutdown_seconds / 2
+
+    def test_open_requests_are_waited_for(self) -> None:
+        seconds = self.stop(5.0, self.write_at_once)
+        assert 5.0 <= seconds <= 5.3
+
+    def test_process_ends_before_it_is_killed(self) -> None:
+        seconds = self.stop(60.0, self.write_never)
+        assert seconds < SETTINGS.shutdown_seconds - 0.2
--- a/wisteriagw/gateway/_directory_handler.py
+++ b/wisteriagw/gateway/_directory_handler.py
@@ -20,9 +20,6 @@
     from wisteriagw.gateway._metrics import GatewayMetrics
 
 METRICS_PATH = b"/metrics"
-# Longest time that callers may cache addresses. VMs come and go without notice, so it
-# is short; each query costs a call.
-ADDRESS_TTL_SECONDS = 2.0
 MAX_ADDRESSES = 64
 
 
@@ -35,6 +32,8 @@
         Address for callers of this VM.
     is_ready : callable
         Whether this VM takes requests.
+    address_seconds : float
+        Seconds for which callers may cache a response.
     """
 
     def __init__(
@@ -51,7 +50,7 @@
         self._metrics = metrics
         self._is_ready = is_ready
         self._clock = clock
-        self._address_seconds = min(ADDRESS_TTL_SECONDS, address_seconds)
+        self._address_seconds = address_seconds
 
     def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer a request."""
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import Deferred
-from twisted.internet.task import LoopingCall, deferLater
+from twisted.internet.task import LoopingCall
 
 from wisteriagw.clocks import SteadyWallClock, read_wall_time
 from wisteriagw.connections import CallClient, ConnectionPool, ServerFactory
@@ -26,7 +26,7 @@
 from wisteriagw.gateway._crash_detector import CrashDetector
 from wisteriagw.gateway._crashing_parts import CrashingParts
 from wisteriagw.gateway._decision_log import DecisionLog
-from wisteriagw.gateway._directory_handler import ADDRESS_TTL_SECONDS, DirectoryHandler
+from wisteriagw.gateway._directory_handler import DirectoryHandler
 from wisteriagw.gateway._engine_rate_table import EngineRateTable
 from wisteriagw.gateway._fleet_feed import FleetFeed, find_read_wait
 from wisteriagw.gateway._gauges import update_gauges
@@ -38,6 +38,10 @@
 from wisteriagw.gateway._quarantine_store import QuarantineStore
 from wisteriagw.gateway._request_handler import RequestHandler
 from wisteriagw.gateway._retry_budgets import RetryBudgets
+from wisteriagw.gateway._shutdown_sequence import (
+    ShutdownSequence,
+    find_address_seconds,
+)
 from wisteriagw.gateway._update_exchange import UpdateExchange
 from wisteriagw.gateway._usage_copies import UsageCopies
 from wisteriagw.gateway._usage_counter import UsageCounter
@@ -46,7 +50,7 @@
 from wisteriagw.mesh import Mesh
 from wisteriagw.placement import WorkTable
 from wisteriagw.platform import EngineClient, StoreClient
-from wisteriagw.routes import CallerLimits, Stop
+from wisteriagw.routes import CallerLimits
 from wisteriagw.sums import SumTable
 
 if TYPE_CHECKING:
@@ -63,12 +67,6 @@
 # Counts of an ended process must be in the store before its window is sealed.
 LOST_USAGE_INTERVAL_SECONDS = 0.5
 INCARNATION_BYTES = 8
-# Time to exit before the platform kills the process after the signal to stop.
-EXIT_MARGIN_SECONDS = 0.7
-BUSY_CHECK_INTERVAL_SECONDS = 0.1
-# Callers that resolved this VM's address use it for up to three times the time that
-# they may cache it.
-LINGER_FACTOR = 3.0
 LISTEN_BACKLOG = 512
 
 
@@ -140,6 +138,9 @@
             build_budget(settings, REQUESTS_FRACTION),
             build_budget(settings, RESPONSES_FRACTION),
         )
+        self._shutdown = ShutdownSequence(
+            reactor, settings, self._front, self._requests, self._usage_writer
+        )
         self._directory = self._build_directory()
 
     def start(self) -> None:
@@ -169,34 +170,12 @@
 
     async def stop(self) -> None:
         """Stop accepting callers, finish open requests and write the usage."""
-        started = self._reactor.seconds()
         logger.info("stopping, %d requests are open", self._front.count_busy())
         self.stopping = True
-        self._front.closing = True
         self._duties.stop()
         self._members.leave()
         self._exchange.send()
-        grace = self._settings.shutdown_seconds - EXIT_MARGIN_SECONDS
-        self._requests.stop = Stop(started, started + grace)
-        linger = min(grace, LINGER_FACTOR * ADDRESS_TTL_SECONDS)
-        while True:
-            elapsed = self._reactor.seconds() - started
-            if elapsed >= grace:
-                break
-            if elapsed >= linger and not self._front.count_busy():
-                break
-            await deferLater(self._reactor, BUSY_CHECK_INTERVAL_SECONDS)
-        # Requests that arrive while the usage is written are refused.
-        self._requests.stop = Stop(started, self._reactor.seconds())
-        self._requests.end_requests()
-        end_window = self.context.usage.get_window() + 1
-        writing = Deferred.fromCoroutine(self._usage_writer.write(end_window))
-        writing.addTimeout(EXIT_MARGIN_SECONDS / 2, self._reactor)
-        try:
-            await writing
-        except Exception as error:
-            logger.warning("usage not written before exit: %s", error)
-        logger.info("stopped with %d open requests", self._front.count_busy())
+        await self._shutdown.run(self.context.usage.get_window() + 1)
 
     def _build_context(
         self,
@@ -249,7 +228,7 @@
             self.context.metrics,
             self.is_ready,
             self._reactor.seconds,
-            self._settings.address_seconds,
+            find_address_seconds(self._settings),
         )
         return ServerFactory(handler.handle, CallerLimits(), self._reactor.seconds)
 
