Scale servers and stages by the demand of the last minute

Cause: the holder of the authority ordered the maximum of servers whatever the load, and kept at least 0.4 of the engines in the prefill stage. Change: VMs publish the prefill work and the refusals that come to them (sums, table demand).

--- a/tests/support/_gateway_fixture.py
+++ b/tests/support/_gateway_fixture.py
@@ -21,6 +21,7 @@
 from wisteriagw.gateway._crash_detector import CrashDetector
 from wisteriagw.gateway._crashing_parts import CrashingParts
 from wisteriagw.gateway._decision_log import DecisionLog
+from wisteriagw.gateway._demand_meter import DemandMeter
 from wisteriagw.gateway._engine_rate_table import EngineRateTable
 from wisteriagw.gateway._fleet_feed import FleetFeed
 from wisteriagw.gateway._metrics import GatewayMetrics
@@ -218,6 +219,7 @@
         self.pending_updates = PendingUpdates(self.usage)
         self.crashing_parts = CrashingParts(self.clock.seconds)
         log, metrics = DecisionLog(self.clock.seconds), GatewayMetrics()
+        rates = EngineRateTable()
         self.context = GatewayContext(
             self.clock,
             SETTINGS,
@@ -225,7 +227,7 @@
             self.fleet,
             self.pool,
             self.work,
-            EngineRateTable(),
+            rates,
             RetryBudgets(SETTINGS),
             self.usage,
             self.pending_updates,
@@ -246,6 +248,7 @@
             self.store.eras,
             EngineClient(CallClient(self.clock, self.pool)),
             self.sums,
+            DemandMeter(self.clock.seconds, rates),
         )
         self.handler = RequestHandler(self.context)
 
--- a/wisteriagw/gateway/_context.py
+++ b/wisteriagw/gateway/_context.py
@@ -13,6 +13,7 @@
     from wisteriagw.gateway._crash_detector import CrashDetector
     from wisteriagw.gateway._crashing_parts import CrashingParts
     from wisteriagw.gateway._decision_log import DecisionLog
+    from wisteriagw.gateway._demand_meter import DemandMeter
     from wisteriagw.gateway._engine_rate_table import EngineRateTable
     from wisteriagw.gateway._fleet_feed import FleetFeed
     from wisteriagw.gateway._metrics import GatewayMetrics
@@ -47,3 +48,4 @@
     eras: EraTracker
     engines: EngineClient
     sums: SumTable
+    demand: DemandMeter
--- a/wisteriagw/gateway/_metrics.py
+++ b/wisteriagw/gateway/_metrics.py
@@ -72,6 +72,18 @@
             ("side",),
             registry=self._registry,
         )
+        self.scaling_target = Gauge(
+            "wisteriagw_scaling_target",
+            "Servers that the holder of the authority wants, 0 elsewhere",
+            ("service",),
+            registry=self._registry,
+        )
+        self.scaling_peak = Gauge(
+            "wisteriagw_scaling_peak",
+            "Peak of the demand in the last minute, in fully busy servers",
+            ("service",),
+            registry=self._registry,
+        )
         self.vms = Gauge(
             "wisteriagw_vms",
             "VMs that are alive, including this one",
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -25,6 +25,7 @@
 from wisteriagw.gateway._crash_detector import CrashDetector
 from wisteriagw.gateway._crashing_parts import CrashingParts
 from wisteriagw.gateway._decision_log import DecisionLog
+from wisteriagw.gateway._demand_meter import DemandMeter
 from wisteriagw.gateway._directory_handler import ADDRESS_TTL_SECONDS, DirectoryHandler
 from wisteriagw.gateway._engine_rate_table import EngineRateTable
 from wisteriagw.gateway._fleet_feed import FleetFeed, find_read_wait
@@ -158,6 +159,7 @@
         self._exchange.start()
         self._repeat(SWEEP_INTERVAL_SECONDS, self._sweep)
         self._repeat(LOST_USAGE_INTERVAL_SECONDS, self._write_lost_usage)
+        self._repeat(DUTY_INTERVAL_SECONDS, self._duties.observe_demand)
         self._repeat(DUTY_INTERVAL_SECONDS, self._duties.run_cycle)
         logger.info("VM %s in %s started", settings.vm, settings.data_centre)
 
@@ -216,6 +218,7 @@
         )
         log, metrics = DecisionLog(reactor.seconds), GatewayMetrics()
         crashing_parts = CrashingParts(reactor.seconds)
+        rates = EngineRateTable()
         return GatewayContext(
             reactor,
             settings,
@@ -225,7 +228,7 @@
             fleet,
             pool,
             work,
-            EngineRateTable(),
+            rates,
             RetryBudgets(settings),
             usage,
             PendingUpdates(usage),
@@ -238,6 +241,7 @@
             store.eras,
             engines,
             SumTable(),
+            DemandMeter(reactor.seconds, rates),
         )
 
     def _build_directory(self) -> ServerFactory:
--- a/wisteriagw/gateway/_server_access.py
+++ b/wisteriagw/gateway/_server_access.py
@@ -100,6 +100,8 @@
                 context.draw,
                 excluded,
             )
+        if not excluded:
+            context.demand.record_placement(self.service, prompt, plan)
         context.log.write(
             "placement",
             request_id=self.caller.request_id,
@@ -132,6 +134,7 @@
         )
         if not is_queue_too_long(plan.queue_seconds, terms):
             return False
+        self.context.demand.record_refusal(self.service.name)
         self.context.log.write(
             "queue_refusal",
             request_id=caller.request_id,
