--- /dev/null
+++ b/tests/test_demand_scaling.py
@@ -0,0 +1,207 @@
+"""Plays of a load through the real decisions about servers and stages."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.support._gateway_fixture import GatewayFixture
+from tests.support._scaling_play import CENTRES, MAX_SERVERS, ScalingPlay
+from wisteriagw.notices import RateLimit
+from wisteriagw.roles import StageNeed
+from wisteriagw.roles._demand_split import choose_lacking_stage
+
+FLOOR = MAX_SERVERS // 3
+PEAK = (4.0, 6.0)
+
+
+def start(load=PEAK, count: int = MAX_SERVERS, settle: float = 0.0) -> ScalingPlay:
+    """Return a play whose load is constant, after some seconds."""
+    play = ScalingPlay()
+    play.fill(count)
+    play.load = lambda now: load
+    play.run(settle)
+    play.orders.clear()
+    play.lack_seconds = play.server_seconds = 0.0
+    return play
+
+
+class TestServersSaved:
+    """Idle servers must not be billed, and orders must be few."""
+
+    def test_calm_hour_costs_less_than_half_of_the_maximum(self) -> None:
+        play = start((0.5, 1.5))
+        play.run(3600.0)
+        assert play.server_seconds < 0.5 * 3 * MAX_SERVERS * 3600
+        assert play.lack_seconds == 0
+        assert play.count() == 3 * FLOOR
+        # One order for each release, and none to keep what is there.
+        assert len(play.orders) == 3 * (MAX_SERVERS - FLOOR)
+
+    def test_a_data_centre_releases_one_server_in_ten_seconds(self) -> None:
+        play = start((0.5, 1.5))
+        play.run(200.0)
+        for name in CENTRES:
+            times = [at for at, centre, _ in play.orders if centre == name]
+            pauses = [b - a for a, b in zip(times, times[1:], strict=False)]
+            assert pauses and min(pauses) >= 10.0
+
+    def test_bursts_within_a_minute_release_no_server(self) -> None:
+        play = start()
+        play.load = lambda now: PEAK if now % 50 < 3 else (0.2, 0.2)
+        play.run(200.0)
+        play.orders.clear()
+        play.run(300.0)
+        assert play.orders == [] and play.lack_seconds == 0
+
+    @pytest.mark.parametrize("cause", ["failing", "leaving", "limited", "refused"])
+    def test_no_release_while_the_service_is_in_trouble(self, cause: str) -> None:
+        play = start((0.5, 1.5))
+        context = play.fixture.context
+        for _ in range(60):
+            name = next(iter(play.servers))
+            now = play.clock.seconds()
+            if cause == "failing":
+                context.work.record_failure(name, now)
+            elif cause == "leaving":
+                play.servers[name] = play.servers[name]._replace(leaving=True)
+            elif cause == "limited":
+                context.notices.table.record(RateLimit(name, 0, 5.0), now)
+            else:
+                context.demand.record_refusal("lm")
+            play.run(1.0)
+        assert min((count for *_, count in play.orders), default=12) == MAX_SERVERS
+
+
+class TestEnginesForTheDemand:
+    """Engines must not be lacking while the demand is within the recent peak."""
+
+    def test_burst_after_calm_is_served_after_one_start(self) -> None:
+        play = start((0.2, 0.5), settle=400.0)
+        assert play.count() == 3 * FLOOR
+        play.load = lambda now: (4.0, 12.0)
+        play.run(1.0)
+        assert {centre for _, centre, _ in play.orders} == set(CENTRES)
+        play.run(9.0)
+        play.lack_seconds = 0.0
+        play.run(120.0)
+        assert play.lack_seconds == 0
+
+    def test_swing_between_prompts_and_answers_changes_few_stages(self) -> None:
+        """A stage that follows each swing lacks engines, and its changes cost more."""
+        play = start()
+        play.load = lambda now: (6.0, 0.5) if now % 6 < 3 else (0.5, 8.0)
+        play.run(120.0)
+        play.lack_seconds, play.stage_orders = 0.0, 0
+        play.run(600.0)
+        assert play.lack_seconds == 0
+        assert play.stage_orders <= 6
+
+    def test_data_centre_lost_at_the_peak(self) -> None:
+        play = start(settle=300.0)
+        assert play.count() < 3 * MAX_SERVERS
+        play.refusing.add("north")
+        play.lose("north")
+        play.run(8.0)
+        play.refusing.clear()
+        play.run(60.0)
+        assert play.lack_seconds == 0
+        assert play.count("north") >= FLOOR
+
+    def test_others_take_the_part_of_a_data_centre_without_servers(self) -> None:
+        play = start(settle=300.0)
+        count = play.count("south")
+        play.refusing.add("north")
+        play.lose("north")
+        play.run(10.0)
+        assert play.count("south") > count
+
+    def test_refused_work_raises_the_target_to_the_maximum(self) -> None:
+        """A cut-down fleet that refuses work sees only the demand that it admits."""
+        play = start((0.2, 0.5), settle=400.0)
+        play.fixture.context.demand.record_refusal("lm")
+        play.run(10.0)
+        assert play.count() == 3 * MAX_SERVERS
+
+    def test_refused_stream_counts_with_what_its_prompt_needs(self) -> None:
+        fixture = GatewayFixture()
+        fixture.work.add("lm-1", 1e6, 100)
+        fixture.work.add("lm-2", 1e6, 100)
+        responder = fixture.request("ask", prompt="17000,100")
+        row = fixture.context.demand.list_rows(fixture.clock.seconds())["lm"]
+        assert responder.status == 503
+        assert row.refused == 1.0 and row.prefill_seconds > 0.1
+
+    def test_release_carried_out_late_is_corrected_after_one_start(self) -> None:
+        play = start((0.2, 0.5), settle=100.0)
+        play.lost, play.late_seconds = True, 12.0
+        play.run(11.0)
+        play.lost = False
+        play.load = lambda now: (4.0, 12.0)
+        play.run(20.0)
+        play.lack_seconds = 0.0
+        play.run(60.0)
+        assert play.lack_seconds == 0
+        assert min(play.count(name) for name in CENTRES) >= 11
+
+    def test_starting_servers_are_not_ordered_again(self) -> None:
+        play = start((0.2, 0.5), settle=400.0)
+        play.load = lambda now: (2.0, 6.0)
+        play.run(6.0)
+        counts = [count for _, centre, count in play.orders if centre == "north"]
+        assert counts == sorted(set(counts))
+
+
+class TestIgnorance:
+    """Servers must not be released by a process that does not know the demand."""
+
+    def test_new_holder_orders_the_maximum_and_releases_later(self) -> None:
+        play = start((0.5, 1.5), settle=400.0)
+        play.number += 1
+        play.start_holder()
+        play.run(9.0)
+        assert play.count() == 3 * MAX_SERVERS
+        play.run(300.0)
+        assert play.count() == 3 * FLOOR
+
+    def test_unknown_demand_of_the_other_vms_keeps_the_maximum(self) -> None:
+        play = start((0.5, 1.5), settle=400.0)
+        play.peers_known = False
+        play.run(60.0)
+        assert play.count() == 3 * MAX_SERVERS
+
+    def test_start_of_the_deployment_orders_the_maximum(self) -> None:
+        play = ScalingPlay()
+        play.run(12.0)
+        assert play.count() == 3 * MAX_SERVERS
+
+
+class TestOtherDeployments:
+    """With fewer than 8 servers in a data centre nothing may change."""
+
+    def test_small_maximum_is_ordered_whatever_the_demand(self) -> None:
+        play = ScalingPlay(7)
+        play.fill(7)
+        play.run(120.0)
+        assert play.orders == [] and play.count() == 21
+        assert list(play.fixture.sums.list_own(play.clock.seconds())) == []
+        service = play.fixture.configuration.table.services["lm"]
+        assert play.monitor.find_stage_need(service) is None
+
+
+class TestLackingStage:
+    """Prompts must find prefill engines, and no engine may change back and forth."""
+
+    @pytest.mark.parametrize("engines", [2, 3, 8, 30])
+    @pytest.mark.parametrize("need", [(0, 0), (0, 9), (9, 0), (4, 4), (40, 70)])
+    def test_stages_settle_with_an_engine_in_each(self, engines, need) -> None:
+        prefill, changes = 0, 0
+        while stage := choose_lacking_stage(engines, prefill, StageNeed(*need)):
+            prefill += 1 if stage == "prefill" else -1
+            changes += 1
+            assert changes <= engines
+        assert 1 <= prefill <= engines - 1
+
+    def test_both_stages_get_what_they_need(self) -> None:
+        assert choose_lacking_stage(30, 9, StageNeed(5.0, 5.0)) == "prefill"
+        assert choose_lacking_stage(30, 10, StageNeed(5.0, 5.0)) is None
+        assert choose_lacking_stage(30, 21, StageNeed(5.0, 5.0)) == "decode"
--- a/wisteriagw/gateway/_demand_orders.py
+++ b/wisteriagw/gateway/_demand_orders.py
@@ -192,12 +192,13 @@
     def _is_calm(self, service: Service, now: float) -> bool:
         """Return whether no server of a service is failing, leaving or limited."""
         context = self._context
+        notices = context.notices.table
         for server in context.fleet.fleet.servers.values():
             if server.service != service.name:
                 continue
-            if server.leaving or context.notices.find_wait(server, now):
+            if server.leaving or notices.find_pause(server, now):
                 return False
-            if context.notices.table.get_rate_limit(server) is not None:
+            if notices.get_rate_limit(server) is not None:
                 return False
             penalty = context.work.get_failure_penalty(server.name, now)
             if penalty >= MIN_FAILURE_PENALTY_SECONDS:
