Test orders after losses, second rises and the wiring of the duties

Cause: trials that removed one guard at a time left the tests green for the repeat of an order after losses, the pause between orders, the surviving data centres, the other VMs' prompts, the fallback and the deviation of the stages. Change: a test for each.

--- a/tests/support/_scaling_play.py
+++ b/tests/support/_scaling_play.py
@@ -163,7 +163,8 @@
         context = self.fixture.context
         service = context.configuration.table.services["lm"]
         rate = context.rates.get("lm").tokens_per_second
-        tokens = prefill * rate * STEP_SECONDS
+        # Half of the prompts come to the other VM.
+        tokens = prefill / 2 * rate * STEP_SECONDS
         plan = Plan("lm-1", uncached_tokens=tokens)
         context.demand.record_placement(service, Prompt("m", round(tokens), 1), plan)
         engines = [name for name, s in self.servers.items() if s.stage == "decode"]
@@ -171,7 +172,8 @@
         rows = [(name, 0.0, streams / len(engines)) for name in engines]
         context.work.apply_peer_work("vm-2", rows, now)
         if self.peers_known:
-            context.sums.apply_peer_rows("vm-2", [("demand", "", 1.0)], now)
+            rows = [("demand", "", 1.0), ("demand", "lm", prefill / 2, 0.0, 0.0)]
+            context.sums.apply_peer_rows("vm-2", rows, now)
         lacks = self.count(stage="prefill") < prefill or len(engines) < decode
         self.lack_seconds += STEP_SECONDS * lacks
         self.server_seconds += STEP_SECONDS * len(self.servers)
--- a/tests/test_demand_scaling.py
+++ b/tests/test_demand_scaling.py
@@ -2,13 +2,21 @@
 
 from __future__ import annotations
 
+import json
+from types import SimpleNamespace
+
 import pytest
+from twisted.internet.defer import Deferred
 
-from tests.support._gateway_fixture import GatewayFixture
+from tests.support._gateway_fixture import SETTINGS, GatewayFixture
 from tests.support._scaling_play import CENTRES, MAX_SERVERS, ScalingPlay
+from wisteriagw.gateway._authority_duties import AuthorityDuties
 from wisteriagw.notices import RateLimit
+from wisteriagw.outcomes import Done
 from wisteriagw.roles import StageNeed
 from wisteriagw.roles._demand_split import choose_lacking_stage
+from wisteriagw.spending import CentreOrder, DataCentreCapacity, plan_centre
+from wisteriagw.spending._demand_target import count_needed
 
 FLOOR = MAX_SERVERS // 3
 PEAK = (4.0, 6.0)
@@ -150,6 +158,49 @@
         counts = [count for _, centre, count in play.orders if centre == "north"]
         assert counts == sorted(set(counts))
 
+    def test_second_rise_does_not_wait_for_the_pause_between_orders(self) -> None:
+        play = start((0.2, 0.5), settle=400.0)
+        play.load = lambda now: (2.0, 6.0)
+        play.run(0.5)
+        play.load = lambda now: (4.0, 14.0)
+        play.run(1.0)
+        assert len({count for _, _, count in play.orders}) > 1
+
+    def test_servers_lost_while_others_start_are_ordered_again(self) -> None:
+        play = start((0.2, 0.5), settle=400.0)
+        play.fixture.context.demand.record_refusal("lm")
+        play.run(5.0)
+        play.lose("north")
+        play.orders.clear()
+        play.run(0.75)
+        assert [order[1:] for order in play.orders] == [("north", MAX_SERVERS)]
+
+    @pytest.mark.parametrize("centres", [2, 3, 5, 21])
+    def test_rest_carries_the_peak_without_a_data_centre(self, centres: int) -> None:
+        for peak in (3.0, 10.0, 40.0):
+            count = count_needed(peak, centres)
+            assert peak / (count * centres) <= 0.5
+            assert peak / (count * (centres - 1)) <= 0.75
+
+
+class TestCentreOrders:
+    """Dependable servers must not be released before others run, nor be missing."""
+
+    def plan(self, *capacity):
+        return plan_centre(DataCentreCapacity("north", *capacity), 6, 12, 0.2, True)
+
+    def test_dependable_servers_stay_until_others_run(self) -> None:
+        assert self.plan(3, 4, True) == [CentreOrder("north", True, 6)]
+        assert self.plan(3, 6, True) == [CentreOrder("north", False, 0)]
+
+    def test_dependable_servers_make_room_below_the_maximum(self) -> None:
+        assert CentreOrder("north", False, 0) in self.plan(8, 4, True)
+        assert CentreOrder("north", False, 0) not in self.plan(8, 4, False)
+
+    def test_dependable_servers_are_the_fallback_after_a_delay(self) -> None:
+        assert CentreOrder("north", False, 4) not in self.plan(0, 2, False, 5.0)
+        assert CentreOrder("north", False, 4) in self.plan(0, 2, False, 15.0)
+
 
 class TestIgnorance:
     """Servers must not be released by a process that does not know the demand."""
@@ -205,3 +256,50 @@
         assert choose_lacking_stage(30, 9, StageNeed(5.0, 5.0)) == "prefill"
         assert choose_lacking_stage(30, 10, StageNeed(5.0, 5.0)) is None
         assert choose_lacking_stage(30, 21, StageNeed(5.0, 5.0)) == "decode"
+
+    def test_shares_of_too_few_engines_may_deviate_by_one(self) -> None:
+        """The shares follow the peaks, which move with each burst."""
+        need = StageNeed(4.0, 4.0)
+        assert choose_lacking_stage(10, 4, need) is None
+        assert choose_lacking_stage(10, 6, need) is None
+        assert choose_lacking_stage(10, 3, need) == "prefill"
+
+
+class RecordingCalls:
+    """Accepts all calls to the platform and records their bodies."""
+
+    def __init__(self) -> None:
+        self.desired: list[int] = []
+
+    async def send(self, address, method, target, body, *arguments):
+        if target == "/scale":
+            self.desired.append(json.loads(body)["desired"])
+        return Done(200, b"")
+
+
+class TestDuties:
+    """The holder's duties must use the measured demand."""
+
+    def test_holder_releases_servers_without_demand(self) -> None:
+        play = start()
+        context, calls = play.fixture.context, RecordingCalls()
+        extra = {"duties": ("10.0.0.9", 80), "lease_seconds": 3.0, "first_start": True}
+        settings = SimpleNamespace(**vars(SETTINGS), **extra)
+        members = SimpleNamespace(entries={"vm-1": None}, list_alive=lambda now: [])
+        exchange = SimpleNamespace(announce_unavailable=print, get_copies=dict)
+        duties = AuthorityDuties(
+            context._replace(settings=settings),
+            calls,
+            play.fixture.store,
+            members,
+            exchange,
+            "i-1",
+            context.reactor.seconds,
+            SimpleNamespace(),
+        )
+        duties._authority.get_fencing_number = lambda: 5
+        for _ in range(50):
+            play.clock.advance(0.5)
+            duties.observe_demand()
+            Deferred.fromCoroutine(duties._scaler.run_cycle())
+        assert calls.desired == [MAX_SERVERS - 1] * 3
