Keep idle engines in the prefill stage until streams need them

Cause: with ample engines the split could fall to 0.2 of prefill engines in calm minutes, and the first burst of prompts would have run on decode engines. Change: 0.4 of the engines stay in the prefill stage while the streams leave them; the monitor sums the open requests without building views of all servers.

--- a/wisteriagw/gateway/_demand_monitor.py
+++ b/wisteriagw/gateway/_demand_monitor.py
@@ -96,9 +96,10 @@
         ]
         slots = max((server.slots for server in servers), default=1)
         streams = row.refused_seconds / TIME_CONSTANT_SECONDS / slots
-        for view in context.work.list_views(servers, None, now):
-            if view.stage != "prefill":
-                streams += view.streams / view.slots
+        counts = {name: count for name, _, count in context.work.sum_work(now)}
+        for server in servers:
+            if server.stage != "prefill":
+                streams += counts.get(server.name, 0.0) / server.slots
         prefill = row.prefill_seconds / TIME_CONSTANT_SECONDS
         return ServiceDemand(prefill, streams, row.refused)
 
--- a/wisteriagw/roles/_demand_split.py
+++ b/wisteriagw/roles/_demand_split.py
@@ -11,11 +11,14 @@
 # Beyond this utilization of an engine prompts queue, or steps slow down.
 TARGET_UTILIZATION = 0.5
 # A prompt that finds no prefill engine delays the streams of a decode engine, so some
-# engines stay in that stage however few prompts came in the last minute.
+# engines stay in that stage however few prompts came in the last minute, and more of
+# them while the streams do not need these engines.
 MIN_PREFILL_FRACTION = 0.2
+IDLE_PREFILL_FRACTION = 0.4
 MIN_DECODE_FRACTION = 0.25
-# Deviation in engines that is accepted while there are too few for both stages: the
-# shares follow the peaks, which move, and each change makes an engine unavailable.
+# Deviation in engines that is accepted where a share decides and not a need: the shares
+# move with the peaks and the number of engines, and each change makes an engine
+# unavailable.
 MAX_DEVIATION = 1
 
 
@@ -43,7 +46,9 @@
         share = wanted / (wanted + decode)
         wanted = min(high, max(low, round(engines * share)))
         decode = engines - wanted
-    if not prefill or prefill < wanted - deviation:
+    idle = min(round(engines * IDLE_PREFILL_FRACTION), engines - decode)
+    least = max(wanted - deviation, idle - MAX_DEVIATION)
+    if not prefill or prefill < least:
         return "prefill"
     if prefill == engines or engines - prefill < decode - deviation:
         return "decode"
