Limit customers' requests to their quotas over all VMs

Cause: the configuration can limit a customer's tokens per second over all VMs, and nothing enforced it.

--- a/tests/support/_gateway_fixture.py
+++ b/tests/support/_gateway_fixture.py
@@ -50,6 +50,9 @@
     retry_window=10.0,
     usage_window=5.0,
     usage_due=10.0,
+    quota_window=8.0,
+    quota_over=0.1,
+    quota_slack=1_000.0,
 )
 WINDOW_SECONDS = 5.0
 
--- a/wisteriagw/gateway/_metrics.py
+++ b/wisteriagw/gateway/_metrics.py
@@ -39,6 +39,18 @@
             ("service",),
             registry=self._registry,
         )
+        self.quota_refusals = Counter(
+            "wisteriagw_quota_refusals",
+            "Requests of customers that were refused because of their quota",
+            ("customer", "reason"),
+            registry=self._registry,
+        )
+        self.quota_level = Gauge(
+            "wisteriagw_quota_level",
+            "Tokens that are left of a customer's quota over all VMs, negative in debt",
+            ("customer",),
+            registry=self._registry,
+        )
         self.configuration_age = Gauge(
             "wisteriagw_configuration_age_seconds",
             "Time since the configuration was last confirmed to be current",
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import random
 import secrets
 from typing import TYPE_CHECKING, Any
@@ -24,6 +25,7 @@
 from wisteriagw.gateway._context import GatewayContext
 from wisteriagw.gateway._crash_detector import CrashDetector
 from wisteriagw.gateway._crashing_parts import CrashingParts
+from wisteriagw.gateway._customer_quotas import UPDATE_INTERVAL_SECONDS
 from wisteriagw.gateway._decision_log import DecisionLog
 from wisteriagw.gateway._directory_handler import ADDRESS_TTL_SECONDS, DirectoryHandler
 from wisteriagw.gateway._engine_rate_table import EngineRateTable
@@ -157,6 +159,7 @@
             self._quarantines.start()
         self._exchange.start()
         self._repeat(SWEEP_INTERVAL_SECONDS, self._sweep)
+        self._repeat(UPDATE_INTERVAL_SECONDS, self._update_quotas)
         self._repeat(LOST_USAGE_INTERVAL_SECONDS, self._write_lost_usage)
         self._repeat(DUTY_INTERVAL_SECONDS, self._duties.run_cycle)
         logger.info("VM %s in %s started", settings.vm, settings.data_centre)
@@ -272,6 +275,13 @@
         self.context.pool.close_address(server.address)
         self._call_pool.close_address(server.address)
 
+    def _update_quotas(self) -> None:
+        members = self._members
+        ages = members.list_ages(self._reactor.seconds(), ready=True)
+        known = math.isfinite(members.follower.read_at)
+        registered = len(members.entries) if known else 0
+        self._requests.quotas.update([age for *_, age in ages], registered)
+
     def _write_lost_usage(self) -> Deferred[None]:
         cycle = self._lost_usage.run_cycle(self._reactor.seconds())
         return Deferred.fromCoroutine(cycle)
--- a/wisteriagw/gateway/_request_exchange.py
+++ b/wisteriagw/gateway/_request_exchange.py
@@ -58,6 +58,9 @@
         self._continuing = False
         self._end_reason = ""
         self._first_event_seconds = 0.0
+        self._kind = "stream" if admitted.route.streaming else "call"
+        # Whether the request has ended and certainly has not run.
+        self.not_run = False
 
     def start(self) -> Deferred[None]:
         """Serve the request in the background; the result fires when it has ended."""
@@ -234,6 +237,7 @@
         headers, body = encode_refusal(
             code, reason, self._caller.request_id, retry_after
         )
+        self.not_run = status == 503
         self._responder.reply(status, headers, body)
         self._finish(code, status, reason)
 
@@ -244,6 +248,7 @@
             logger.error("request failed: %s", failure.getTraceback())
             self._end_reason = self._end_reason or "internal_error"
         if self._end_reason == "gone":
+            self.not_run = not may_have_run
             self._finish("caller_left", 0)
         elif self._responder.started:
             self._responder.abort()
@@ -268,14 +273,12 @@
 
     def _record_first_event(self) -> None:
         seconds = self._context.reactor.seconds() - self._received_at
-        kind = "stream" if self._route.streaming else "call"
-        self._context.metrics.first_event.labels(kind).observe(seconds)
+        self._context.metrics.first_event.labels(self._kind).observe(seconds)
         self._first_event_seconds = seconds
 
     def _finish(self, outcome: str, status: int, reason: str = "") -> None:
         context = self._context
-        kind = "stream" if self._route.streaming else "call"
-        context.metrics.requests.labels(kind, outcome).inc()
+        context.metrics.requests.labels(self._kind, outcome).inc()
         context.log.write(
             "request",
             request_id=self._caller.request_id,
--- a/wisteriagw/gateway/_request_handler.py
+++ b/wisteriagw/gateway/_request_handler.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from wisteriagw.gateway._customer_quotas import CustomerQuotas
 from wisteriagw.gateway._request_exchange import RequestExchange
 from wisteriagw.gateway._request_times import find_timeout
 from wisteriagw.platform import decode_caller_request, encode_refusal
@@ -12,12 +13,15 @@
 if TYPE_CHECKING:
     from wisteriagw.connections import HttpRequest, Responder
     from wisteriagw.gateway._context import GatewayContext
+    from wisteriagw.gateway._quota_charge import QuotaCharge
     from wisteriagw.routes import Stop
 
 BAD_REQUEST = Denied(400, "invalid_request", "the request has no id or a bad value")
 STOPPING = Denied(503, "stopping", "the process exits before the request could end")
+OVER_QUOTA = Denied(429, "quota_exceeded", "the customer's quota is used up")
 # Callers denied before they are identified retry on another connection.
 RETRY_AFTER_SECONDS = 0.2
+RETRY_STATUSES = (429, 503)
 
 
 class RequestHandler:
@@ -27,10 +31,13 @@
     ----------
     stop : Stop or None
         Planned stop of the process, once it has begun.
+    quotas : CustomerQuotas
+        Quotas of the customers.
     """
 
     def __init__(self, context: GatewayContext) -> None:
         self.stop: Stop | None = None
+        self.quotas = CustomerQuotas(context)
         self._context = context
         self._open: set[RequestExchange] = set()
 
@@ -58,16 +65,25 @@
             # Another VM can serve the request now.
             self._deny(STOPPING, caller.request_id, responder, 0.0)
             return
+        charge = self.quotas.charge(decision.customer, caller)
+        if not charge.admitted:
+            self._deny(OVER_QUOTA, caller.request_id, responder, charge.retry_after)
+            return
         context.budgets.count_request(decision.service.name, now)
         exchange = RequestExchange(context, request, caller, decision, responder)
         self._open.add(exchange)
-        exchange.start().addBoth(lambda _: self._open.discard(exchange))
+        exchange.start().addBoth(lambda _: self._close(exchange, charge))
 
     def end_requests(self) -> None:
         """Answer the requests that are still open, because the process exits."""
         for exchange in list(self._open):
             exchange.end()
 
+    def _close(self, exchange: RequestExchange, charge: QuotaCharge) -> None:
+        self._open.discard(exchange)
+        if exchange.not_run:
+            self.quotas.refund(charge)
+
     def _deny(
         self,
         denied: Denied,
@@ -80,7 +96,7 @@
             denied.code,
             denied.message,
             request_id,
-            retry_after if denied.status == 503 else None,
+            retry_after if denied.status in RETRY_STATUSES else None,
         )
         responder.reply(denied.status, headers, body)
         context.metrics.requests.labels("denied", denied.code).inc()
--- a/wisteriagw/platform/_caller_decoding.py
+++ b/wisteriagw/platform/_caller_decoding.py
@@ -11,6 +11,9 @@
     from wisteriagw.connections import HttpRequest
 
 KEY_SCHEME = "Token "
+TOKEN_COUNT = b"x-wisteriagw-token-count"
+# Greater numbers are taken for errors; contexts of models are far below.
+MAX_TOKENS = 10**9
 
 
 def decode_caller_request(request: HttpRequest) -> CallerRequest | None:
@@ -30,16 +33,32 @@
             timeout=None if timeout is None else float(timeout) / 1000,
             prompt=decode_prompt(headers),
             last_event=None if last_event is None else int(last_event),
+            tokens=decode_tokens(headers),
         )
     except (KeyError, ValueError):
         return None
 
 
+def decode_tokens(headers: dict[bytes, bytes]) -> int | None:
+    """Return the tokens that a request may use, or None if it does not state them."""
+    counts = headers.get(TOKEN_COUNT)
+    if counts is None:
+        return None
+    prompt, _, output = counts.partition(b",")
+    try:
+        numbers = int(prompt), int(output or 0)
+    except ValueError:
+        return None
+    if min(numbers) < 0 or max(numbers) > MAX_TOKENS:
+        return None
+    return sum(numbers)
+
+
 def decode_prompt(headers: dict[bytes, bytes]) -> Prompt | None:
     """Return the model and sizes of the prompt, or None if a header is missing."""
     model = headers.get(b"x-wisteriagw-model")
     # The header holds two numbers: prompt tokens and maximum output tokens.
-    counts = headers.get(b"x-wisteriagw-token-count")
+    counts = headers.get(TOKEN_COUNT)
     if model is None or counts is None:
         return None
     tokens, _, output = counts.partition(b",")
--- a/wisteriagw/platform/_caller_request.py
+++ b/wisteriagw/platform/_caller_request.py
@@ -25,6 +25,8 @@
         None unless the request is for a model.
     last_event : int or None
         Id of the last event received, if the caller resumes a stream.
+    tokens : int or None
+        Prompt tokens and bound on generated tokens; None if the request states none.
     """
 
     request_id: str
@@ -34,3 +36,4 @@
     timeout: float | None
     prompt: Prompt | None
     last_event: int | None
+    tokens: int | None = None
--- a/wisteriagw/platform/_configuration.py
+++ b/wisteriagw/platform/_configuration.py
@@ -6,6 +6,7 @@
 
 from wisteriagw.findings import Finding
 from wisteriagw.jsondata import DECODE_ERRORS, load_json
+from wisteriagw.quotas import CustomerQuota
 from wisteriagw.routes import (
     CallerLimits,
     Customer,
@@ -18,6 +19,7 @@
 )
 
 PLACE = "configuration"
+INFINITY = float("inf")
 
 
 def decode_configuration(data: bytes) -> RoutingTable | Finding:
@@ -108,12 +110,30 @@
     customers: dict[str, Customer] = {}
     for row in rows:
         priority = row.get("priority")
-        customer = Customer(row["name"], None if priority is None else int(priority))
+        customer = Customer(
+            row["name"],
+            None if priority is None else int(priority),
+            decode_quota(row),
+        )
         for key in row["api_keys"]:
             customers[key] = customer
     return customers
 
 
+def decode_quota(fields: dict[str, Any]) -> CustomerQuota | None:
+    """Decode the quota of a customer, or return None if the customer has none."""
+    rate = float(fields.get("rate_per_s") or 0.0)
+    quota = CustomerQuota(
+        rate=rate,
+        burst=float(fields.get("burst") or 0.0),
+        in_tokens=fields.get("unit") == "tokens",
+        uncached_tokens=float(fields.get("uncached_tokens") or 0.0),
+    )
+    if not (0 <= rate < INFINITY and quota.burst >= 0 and quota.uncached_tokens >= 0):
+        raise ValueError("a quota must consist of finite numbers that are not negative")
+    return quota if rate else None
+
+
 def decode_limits(fields: dict[str, Any]) -> CallerLimits:
     """Decode the limits on callers, with defaults for those not given."""
     default = CallerLimits()
--- a/wisteriagw/platform/_node_settings.py
+++ b/wisteriagw/platform/_node_settings.py
@@ -49,6 +49,9 @@
     core_part, core_speed : float
         Fraction of a processor core available to the process, and the speed of that
         core relative to the usual one.
+    quota_window, quota_over, quota_slack : float
+        Window in seconds of the bound on customers' quotas, accepted excess as a
+        fraction of the quota, and as a number of tokens; 0 where there is no bound.
     """
 
     vm: str
@@ -77,3 +80,6 @@
     memory_mb: int
     core_part: float
     core_speed: float
+    quota_window: float = 0.0
+    quota_over: float = 0.0
+    quota_slack: float = 0.0
--- a/wisteriagw/platform/_settings_file.py
+++ b/wisteriagw/platform/_settings_file.py
@@ -38,6 +38,12 @@
     ("limits.cpu_share", "core_part", float, 1),
     ("limits.cores", "core_speed", float, 1),
 )
+# Fields that are absent where they do not apply.
+OPTIONAL_FIELDS = (
+    ("bounds.quota_window_s", "quota_window", float, 1),
+    ("bounds.quota_over", "quota_over", float, 1),
+    ("bounds.quota_slack", "quota_slack", float, 1),
+)
 ADDRESSES = (
     ("listen.front", "front"),
     ("listen.ready", "ready"),
@@ -55,8 +61,10 @@
         return [Finding("settings file", str(error))]
     findings: list[Finding] = []
     values: dict[str, Any] = {}
-    for path, field, kind, factor in FIELDS:
+    for path, field, kind, factor in (*FIELDS, *OPTIONAL_FIELDS):
         value = find_value(tree, path)
+        if value is MISSING and (path, field, kind, factor) in OPTIONAL_FIELDS:
+            continue
         if not has_type(value, kind):
             findings.append(Finding(path, f"must be of type {kind.__name__}"))
             continue
