Estimate the speed of each backend server

Cause: a single rate is used for all engines of a service, and plain servers are compared by open requests per slot alone, so a slow server gets as many requests as a fast one. Change: package speeds compares the seconds of prefills, first events, streams and plain answers with those of the whole service, shares the result as table speeds of the sums, and placement divides its estimates by it.

--- a/tests/support/_gateway_fixture.py
+++ b/tests/support/_gateway_fixture.py
@@ -39,6 +39,7 @@
     Service,
     index_routes,
 )
+from wisteriagw.speeds import SpeedTable
 from wisteriagw.standins import TopicStore
 from wisteriagw.sums import SumTable
 
@@ -202,6 +203,7 @@
         self.pool = ScriptedPool()
         self.work = WorkTable()
         self.sums = SumTable()
+        self.speeds = SpeedTable(self.sums)
         self.configuration = ConfigurationFeed(
             self.clock, self.store, 5.0, lambda table: None
         )
@@ -246,6 +248,7 @@
             self.store.eras,
             EngineClient(CallClient(self.clock, self.pool)),
             self.sums,
+            self.speeds,
         )
         self.handler = RequestHandler(self.context)
 
--- a/wisteriagw/gateway/_context.py
+++ b/wisteriagw/gateway/_context.py
@@ -22,6 +22,7 @@
     from wisteriagw.gateway.notices import NoticeBoard
     from wisteriagw.placement import WorkTable
     from wisteriagw.platform import EngineClient, NodeSettings
+    from wisteriagw.speeds import SpeedTable
     from wisteriagw.sums import SumTable
 
 
@@ -47,3 +48,4 @@
     eras: EraTracker
     engines: EngineClient
     sums: SumTable
+    speeds: SpeedTable
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -46,6 +46,7 @@
 from wisteriagw.placement import WorkTable
 from wisteriagw.platform import EngineClient, StoreClient
 from wisteriagw.routes import CallerLimits, Stop
+from wisteriagw.speeds import SpeedTable
 from wisteriagw.sums import SumTable
 
 if TYPE_CHECKING:
@@ -205,7 +206,7 @@
     ) -> GatewayContext:
         reactor, settings = self._reactor, self._settings
         usage = UsageCounter(settings.usage_window, wall_clock)
-        work = WorkTable()
+        work, sums = WorkTable(), SumTable()
         notices = NoticeBoard(reactor.seconds, work, settings.vm)
         fleet = FleetFeed(
             reactor,
@@ -237,7 +238,8 @@
             random.random,
             store.eras,
             engines,
-            SumTable(),
+            sums,
+            SpeedTable(sums),
         )
 
     def _build_directory(self) -> ServerFactory:
@@ -269,6 +271,7 @@
 
     def _remove_server(self, server: BackendServer) -> None:
         self.context.work.remove_server(server.name)
+        self.context.speeds.remove_server(server)
         self.context.pool.close_address(server.address)
         self._call_pool.close_address(server.address)
 
--- a/wisteriagw/gateway/_prompt_prefill.py
+++ b/wisteriagw/gateway/_prompt_prefill.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import Deferred, TimeoutError
 
 from wisteriagw.connections import ConnectFailedError, HttpRequest, ResponseLostError
+from wisteriagw.gateway._attempt_timing import AttemptTiming
 from wisteriagw.gateway._work_reservation import WorkReservation
 from wisteriagw.platform import MAX_ANSWER_BYTES, build_handle_target, decode_handle
 
@@ -29,6 +30,7 @@
 
     def __init__(self, access: ServerAccess) -> None:
         self._access = access
+        self._timing = AttemptTiming(access)
         self._response: Response | None = None
         self._reservation: WorkReservation | None = None
         self._source: KvSource | None = None
@@ -37,7 +39,8 @@
         """Return where the prompt's KV cache is kept, or None if the prefill failed."""
         access, context = self._access, self._access.context
         server = context.fleet.fleet.servers[plan.prefill]
-        waiting = access.count_waiting_tokens(server)
+        waiting = access.view_server(server).waiting_tokens
+        self._timing.start(server, waiting + plan.uncached_tokens)
         self._reservation = WorkReservation(
             context.work, server.name, plan.uncached_tokens
         )
@@ -100,8 +103,7 @@
 
     def _record_prefill(self, plan: Plan, waiting: float, seconds: float) -> None:
         access, context = self._access, self._access.context
-        tokens = waiting + plan.uncached_tokens
-        context.rates.add_sample(access.service.name, tokens, seconds)
+        self._timing.record_prefill()
         context.work.record_success(plan.prefill, context.reactor.seconds())
         context.log.write(
             "prefilled",
--- a/wisteriagw/gateway/_request_forwarder.py
+++ b/wisteriagw/gateway/_request_forwarder.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import TimeoutError
 
 from wisteriagw.connections import ConnectFailedError, ResponseLostError
+from wisteriagw.gateway._attempt_timing import AttemptTiming
 from wisteriagw.gateway._engine_unreachable import EngineUnreachableError
 from wisteriagw.gateway._loss_detector import LossDetector
 from wisteriagw.gateway._prompt_prefill import PromptPrefill
@@ -58,6 +59,7 @@
         self._access = access
         self._prefill = PromptPrefill(access)
         self._detector = LossDetector(access)
+        self._timing = AttemptTiming(access)
         self._response: Response | None = None
         self._reservation: WorkReservation | None = None
         self._usage_counted = False
@@ -65,7 +67,6 @@
         self._came_at = 0.0
         self._sent_at = 0.0
         self._running_since: float | None = None
-        self._expected_tokens = 0.0
         self._sound = False
         self._running: BackendServer | None = None
         self._unreachable = False
@@ -175,14 +176,10 @@
 
     def _record_first_event(self) -> None:
         self._reservation.release_tokens()
-        access, context = self._access, self._access.context
+        context = self._access.context
         now = context.reactor.seconds()
         context.work.record_success(self.server, now)
-        if access.caller.prompt is not None:
-            seconds = now - self._sent_at
-            context.rates.add_sample(
-                access.service.name, self._expected_tokens, seconds
-            )
+        self._timing.record_first_event()
         self._sent_at = 0.0
         self._running_since = now
         self._count_usage()
@@ -199,8 +196,7 @@
                 self._record_sound_answer()
             context.work.record_success(self.server, now)
             if self._running_since is not None:
-                seconds = now - self._running_since
-                context.rates.add_stream(self._access.service.name, seconds)
+                self._timing.record_stream(now - self._running_since)
         else:
             context.work.record_failure(self.server, now, SERVER_ERROR_WEIGHT)
 
@@ -238,12 +234,12 @@
         server = terms.server
         self.server = server.name
         self._running = server
-        tokens = 0.0
-        self._expected_tokens = 0.0
+        tokens = expected_tokens = 0.0
         if terms.source is None:
             tokens = plan.uncached_tokens
-            waiting = access.count_waiting_tokens(server)
-            self._expected_tokens = (waiting + tokens) * FULL_PREFILL_FACTOR
+            waiting = access.view_server(server).waiting_tokens
+            expected_tokens = (waiting + tokens) * FULL_PREFILL_FACTOR
+        self._timing.start(server, expected_tokens)
         self._reservation = WorkReservation(context.work, server.name, tokens)
         access.record_parts(server.name)
         self._came_at = self._sent_at = context.reactor.seconds()
@@ -280,6 +276,7 @@
         if terms.source is not None:
             self._prefill.record_fetched()
         if not self._access.route.streaming:
+            self._timing.record_head(head.status)
             self._count_usage()
         return Answering(self._response, head)
 
--- a/wisteriagw/gateway/_server_access.py
+++ b/wisteriagw/gateway/_server_access.py
@@ -100,6 +100,7 @@
                 context.draw,
                 excluded,
             )
+        known = context.fleet.fleet.servers
         context.log.write(
             "placement",
             request_id=self.caller.request_id,
@@ -109,6 +110,7 @@
             server=plan.server if plan else "",
             prefill=plan.prefill if plan else "",
             fetch_from=plan.fetch_from if plan else "",
+            speed=context.speeds.get_speed(known[plan.server]) if plan else None,
             estimate=round(plan.seconds, 4) if plan else None,
             fleet_age=round(now - context.fleet.follower.read_at, 3)
             if math.isfinite(context.fleet.follower.read_at)
@@ -249,18 +251,24 @@
 
     def _list_views(self, now: float) -> list[ServerView]:
         context = self.context
+        service = self.service.name
+        known = context.fleet.fleet.list_service(service)
         servers = [
             server
-            for server in context.fleet.fleet.list_service(self.service.name)
+            for server in known
             if not context.work.is_unavailable(server.name, now)
             and not context.notices.find_wait(server, now)
         ]
-        return context.work.list_views(servers, self.caller.prompt, now)
-
-    def count_waiting_tokens(self, server: BackendServer) -> float:
-        """Return the number of prompt tokens queued at a server."""
+        views = context.work.list_views(servers, self.caller.prompt, now)
+        speeds = context.speeds.find_speeds(service, known, now)
+        if not speeds:
+            return views
+        return [view._replace(speed=speeds.get(view.name, 1.0)) for view in views]
+
+    def view_server(self, server: BackendServer) -> ServerView:
+        """Return the work of all VMs at a server, without its speed."""
         now = self.context.reactor.seconds()
-        return self.context.work.list_views((server,), None, now)[0].waiting_tokens
+        return self.context.work.list_views((server,), None, now)[0]
 
     def record_parts(self, server: str) -> None:
         """Record that an engine caches the parts of the prompt from now on."""
--- a/wisteriagw/placement/__init__.py
+++ b/wisteriagw/placement/__init__.py
@@ -10,6 +10,11 @@
     update_rates,
     update_stream_seconds,
 )
+from wisteriagw.placement._expected_seconds import (
+    expect_answer,
+    expect_first_event,
+    expect_prefill,
+)
 from wisteriagw.placement._load_admission import (
     QueueTerms,
     find_patience,
@@ -33,6 +38,9 @@
     "choose_backup",
     "choose_plan",
     "choose_server",
+    "expect_answer",
+    "expect_first_event",
+    "expect_prefill",
     "find_patience",
     "is_queue_too_long",
     "is_returning",
