--- a/wisteriagw/gateway/_attempt_timing.py
+++ b/wisteriagw/gateway/_attempt_timing.py
@@ -11,10 +11,11 @@
     from wisteriagw.fleet import BackendServer
     from wisteriagw.gateway._server_access import ServerAccess
 
-# Prefills and first events vary less than plain answers, because queue and prompt are
-# accounted for. Streams vary more, and callers may read them slowly.
-PREFILL_WEIGHT = 2.0
-FIRST_EVENT_WEIGHT = 2.0
+# Queue and prompt of prefills and first events are accounted for, so they count as if
+# they had half the spread of plain answers. The length of streams is not known, and
+# callers may read them slowly, so they count as if they had twice that spread.
+PREFILL_WEIGHT = 4.0
+FIRST_EVENT_WEIGHT = 4.0
 ANSWER_WEIGHT = 1.0
 STREAM_WEIGHT = 0.25
 MIN_ERROR_STATUS = 300
--- a/wisteriagw/speeds/_baseline.py
+++ b/wisteriagw/speeds/_baseline.py
@@ -4,8 +4,6 @@
 
 from typing import NamedTuple
 
-from wisteriagw.speeds._speed_estimate import MAX_LOG_RATIO
-
 # Samples that the mean covers: it follows a change of what callers ask for, and its
 # own error stays under a tenth of the spread of the samples.
 BASELINE_SAMPLES = 50
@@ -14,7 +12,7 @@
 
 
 class Baseline(NamedTuple):
-    """Mean logarithm of expected to measured seconds at a server of speed 1.
+    """Mean logarithm of expected to measured seconds.
 
     Attributes
     ----------
@@ -33,9 +31,10 @@
 
 
 def update_baseline(baseline: Baseline, log_ratio: float) -> Baseline:
-    """Return the baseline with a further logarithm, scaled to a server of speed 1."""
-    change = log_ratio - baseline.mean
-    if baseline.is_known():
-        change = min(MAX_LOG_RATIO, max(-MAX_LOG_RATIO, change))
+    """Return the baseline with a further logarithm.
+
+    A slow server moves it for all servers alike, which `find_log_speeds` evens out.
+    """
     samples = min(BASELINE_SAMPLES, baseline.samples + 1)
-    return Baseline(baseline.mean + change / samples, samples)
+    mean = baseline.mean + (log_ratio - baseline.mean) / samples
+    return Baseline(mean, samples)
--- a/wisteriagw/speeds/_service_speeds.py
+++ b/wisteriagw/speeds/_service_speeds.py
@@ -11,10 +11,11 @@
     from collections.abc import Mapping
 
 # Weight of speed 1 in each estimate, in answers of a plain service. The logarithms of
-# those have a standard deviation of 0.5; with this weight the one of the estimate is
-# at most 0.06 at any rate of answers (largest where the decayed weight equals it).
-PRIOR_WEIGHT = 10.0
-# Servers within 15% count as equal; that is more than twice the above deviation.
+# those have a standard deviation of 0.5. With this weight the one of the estimate is
+# at most 0.04 at any rate of independent answers (0.5 / sqrt(8 x weight), reached where
+# the decayed weight equals it). Queues that are not known yet add to it.
+PRIOR_WEIGHT = 20.0
+# Servers within 15% count as equal; that is more than three times that deviation.
 EQUAL_SPEED_RATIO = 1.15
 SPEED_DIGITS = 3
 
--- a/wisteriagw/speeds/_speed_table.py
+++ b/wisteriagw/speeds/_speed_table.py
@@ -58,9 +58,7 @@
                 sample.weight,
                 now,
             )
-        # Scaled to speed 1, so that a slow server does not move the mean.
-        scaled = log_ratio - self._logs.get(key, 0.0)
-        self._baselines[kind] = update_baseline(baseline, scaled)
+        self._baselines[kind] = update_baseline(baseline, log_ratio)
 
     def list_rows(self, now: float) -> list[tuple[str, tuple[float, float]]]:
         """Return the own rows for an update: server, sum of logarithms, weight."""
