--- a/wisteriagw/speeds/_speed_table.py
+++ b/wisteriagw/speeds/_speed_table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import zlib
 from typing import TYPE_CHECKING
 
 from wisteriagw.speeds._baseline import Baseline, update_baseline
@@ -123,5 +124,9 @@
 
 
 def build_key(server: BackendServer) -> str:
-    """Return the key of a server; a restart under the same name has another one."""
-    return f"{server.name}@{server.born}"
+    """Return the key of a server; a restart under the same name has another one.
+
+    A checksum, because each row of each update holds it. Of 1,500 servers any two have
+    the same one with a probability of 0.0003; they would share their estimate.
+    """
+    return f"{zlib.crc32(f'{server.name} {server.born}'.encode()):x}"
