--- a/tests/support/_gateway_fixture.py
+++ b/tests/support/_gateway_fixture.py
@@ -40,6 +40,7 @@
     Service,
     index_routes,
 )
+from wisteriagw.speeds import SpeedTable
 from wisteriagw.standins import TopicStore
 from wisteriagw.sums import SumTable
 
@@ -206,6 +207,7 @@
         self.pool = ScriptedPool()
         self.work = WorkTable()
         self.sums = SumTable()
+        self.speeds = SpeedTable(self.sums)
         self.configuration = ConfigurationFeed(
             self.clock, self.store, 5.0, lambda table: None
         )
@@ -252,6 +254,7 @@
             EngineClient(CallClient(self.clock, self.pool)),
             self.sums,
             DemandMeter(self.clock.seconds, rates),
+            self.speeds,
         )
         self.handler = RequestHandler(self.context)
 
--- a/wisteriagw/gateway/_context.py
+++ b/wisteriagw/gateway/_context.py
@@ -23,6 +23,7 @@
     from wisteriagw.gateway.notices import NoticeBoard
     from wisteriagw.placement import WorkTable
     from wisteriagw.platform import EngineClient, NodeSettings
+    from wisteriagw.speeds import SpeedTable
     from wisteriagw.sums import SumTable
 
 
@@ -49,3 +50,4 @@
     engines: EngineClient
     sums: SumTable
     demand: DemandMeter
+    speeds: SpeedTable
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -54,6 +54,7 @@
 from wisteriagw.placement import WorkTable
 from wisteriagw.platform import EngineClient, StoreClient
 from wisteriagw.routes import CallerLimits
+from wisteriagw.speeds import SpeedTable
 from wisteriagw.sums import SumTable
 
 if TYPE_CHECKING:
@@ -191,7 +192,7 @@
     ) -> GatewayContext:
         reactor, settings = self._reactor, self._settings
         usage = UsageCounter(settings.usage_window, wall_clock)
-        work = WorkTable()
+        work, sums = WorkTable(), SumTable()
         notices = NoticeBoard(reactor.seconds, work, settings.vm)
         fleet = FleetFeed(
             reactor,
@@ -224,8 +225,9 @@
             random.random,
             store.eras,
             engines,
-            SumTable(),
+            sums,
             DemandMeter(reactor.seconds, rates),
+            SpeedTable(sums),
         )
 
     def _build_directory(self) -> ServerFactory:
@@ -257,6 +259,7 @@
 
     def _remove_server(self, server: BackendServer) -> None:
         self.context.work.remove_server(server.name)
+        self.context.speeds.remove_server(server)
         self.context.pool.close_address(server.address)
         self._call_pool.close_address(server.address)
 
