--- a/wisteriagw/connections/_response.py
+++ b/wisteriagw/connections/_response.py
@@ -89,6 +89,19 @@
         self._count()
         return queue[0] if len(queue) == 1 else b"".join(queue)
 
+    async def wait_for_body(self) -> bool:
+        """Wait until a part of the body or its end has arrived, and read nothing.
+
+        Returns whether there is a part. Raises ResponseLostError like ``read_part``.
+        """
+        while not self._queue:
+            if self.ended:
+                return False
+            if self._loss is not None:
+                raise ResponseLostError(self._loss)
+            await self._wait()
+        return True
+
     async def read_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
         """Return the rest of the body.
 
--- a/wisteriagw/gateway/_context.py
+++ b/wisteriagw/gateway/_context.py
@@ -15,6 +15,7 @@
     from wisteriagw.gateway._decision_log import DecisionLog
     from wisteriagw.gateway._engine_rate_table import EngineRateTable
     from wisteriagw.gateway._fleet_feed import FleetFeed
+    from wisteriagw.gateway._hedges import Hedges
     from wisteriagw.gateway._metrics import GatewayMetrics
     from wisteriagw.gateway._pending_updates import PendingUpdates
     from wisteriagw.gateway._retry_budgets import RetryBudgets
@@ -47,3 +48,5 @@
     eras: EraTracker
     engines: EngineClient
     sums: SumTable
+    # None if the limit is 0.
+    hedges: Hedges | None = None
--- a/wisteriagw/gateway/_main.py
+++ b/wisteriagw/gateway/_main.py
@@ -16,6 +16,7 @@
 from wisteriagw import __version__
 from wisteriagw.clocks import read_boot_time
 from wisteriagw.findings import Finding, format_findings
+from wisteriagw.hedging import MAX_LIMIT_PERCENT, parse_limit
 from wisteriagw.platform import SETTINGS_VARIABLE, parse_settings
 
 if TYPE_CHECKING:
@@ -51,6 +52,14 @@
         help="Port of the metrics on this VM; default: $WISTERIAGW_METRICS_PORT or "
         f"{DEFAULT_METRICS_PORT}.",
     )
+    parser.add_argument(
+        "--hedge-limit",
+        type=read_hedge_limit,
+        default=os.environ.get("WISTERIAGW_HEDGE_LIMIT", "0"),
+        help="Extra server time for second attempts of slow idempotent requests, in "
+        f"percent, 0 to {MAX_LIMIT_PERCENT:g}; default: $WISTERIAGW_HEDGE_LIMIT or 0, "
+        "which is off.",
+    )
     parser.add_argument(
         "--check", action="store_true", help="Check the settings file and exit."
     )
@@ -60,7 +69,7 @@
         sys.stderr.write(format_findings(settings) + "\n")
         sys.exit(EXIT_INVALID_SETTINGS)
     if not options.check:
-        run(settings, options.settings, options.metrics_port)
+        run(settings, options.settings, options.metrics_port, options.hedge_limit)
 
 
 def read_settings(path: str | None) -> NodeSettings | list[Finding]:
@@ -74,7 +83,17 @@
     return parse_settings(text)
 
 
-def run(settings: NodeSettings, path: str, metrics_port: int) -> None:
+def read_hedge_limit(text: str) -> float:
+    """Return the limit in the setting; other values end the process with status 2."""
+    try:
+        return parse_limit(text)
+    except ValueError as error:
+        raise argparse.ArgumentTypeError(str(error)) from error
+
+
+def run(
+    settings: NodeSettings, path: str, metrics_port: int, hedge_limit: float
+) -> None:
     """Run the process until it is stopped."""
     from twisted.internet import reactor
     from twisted.python.log import PythonLoggingObserver
@@ -88,7 +107,7 @@
     start_logging(PROGRAM, stream=sys.stdout)
     PythonLoggingObserver("wisteriagw.twisted").start()
     logging.getLogger("wisteriagw.twisted").setLevel(logging.ERROR)
-    node = Node(reactor, settings, metrics_port)
+    node = Node(reactor, settings, metrics_port, hedge_limit)
     monitor = SettingsMonitor(reactor, settings, lambda: read_settings(path))
     reactor.callWhenRunning(node.start)
     reactor.callWhenRunning(monitor.start, SETTINGS_CHECK_SECONDS)
--- a/wisteriagw/gateway/_metrics.py
+++ b/wisteriagw/gateway/_metrics.py
@@ -39,6 +39,30 @@
             ("service",),
             registry=self._registry,
         )
+        self.hedges_sent = Counter(
+            "wisteriagw_hedges_sent",
+            "Second attempts of slow requests",
+            ("service",),
+            registry=self._registry,
+        )
+        self.hedge_results = Counter(
+            "wisteriagw_hedge_results",
+            "Second attempts of slow requests that have ended, by outcome",
+            ("service", "outcome"),
+            registry=self._registry,
+        )
+        self.hedges_denied = Counter(
+            "wisteriagw_hedges_denied",
+            "Slow requests without a second attempt, by the limit that denied it",
+            ("service", "limit"),
+            registry=self._registry,
+        )
+        self.hedge_seconds = Counter(
+            "wisteriagw_hedge_extra_server_seconds",
+            "Server seconds of attempts that hedging made superfluous",
+            ("service",),
+            registry=self._registry,
+        )
         self.configuration_age = Gauge(
             "wisteriagw_configuration_age_seconds",
             "Time since the configuration was last confirmed to be current",
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -29,6 +29,7 @@
 from wisteriagw.gateway._engine_rate_table import EngineRateTable
 from wisteriagw.gateway._fleet_feed import FleetFeed, find_read_wait
 from wisteriagw.gateway._gauges import update_gauges
+from wisteriagw.gateway._hedges import build_hedges
 from wisteriagw.gateway._lost_usage_writer import LostUsageWriter
 from wisteriagw.gateway._member import build_member, format_address
 from wisteriagw.gateway._members import Members
@@ -74,8 +75,15 @@
 class Node:
     """Builds the components of the process and runs them until it is stopped."""
 
-    def __init__(self, reactor: Any, settings: NodeSettings, metrics_port: int) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        settings: NodeSettings,
+        metrics_port: int,
+        hedge_limit: float = 0.0,
+    ) -> None:
         self.stopping = False
+        self._hedge_limit = hedge_limit
         self._reactor = reactor
         self._settings = settings
         self._metrics_address = (settings.front[0], metrics_port)
@@ -205,7 +213,7 @@
     ) -> GatewayContext:
         reactor, settings = self._reactor, self._settings
         usage = UsageCounter(settings.usage_window, wall_clock)
-        work = WorkTable()
+        work, sums = WorkTable(), SumTable()
         notices = NoticeBoard(reactor.seconds, work, settings.vm)
         fleet = FleetFeed(
             reactor,
@@ -237,7 +245,8 @@
             random.random,
             store.eras,
             engines,
-            SumTable(),
+            sums,
+            build_hedges(self._hedge_limit, settings.retry_window, sums),
         )
 
     def _build_directory(self) -> ServerFactory:
--- a/wisteriagw/gateway/_request_exchange.py
+++ b/wisteriagw/gateway/_request_exchange.py
@@ -9,11 +9,13 @@
 
 from wisteriagw.connections import ResponseLostError
 from wisteriagw.gateway._event_splitter import EventSplitter
+from wisteriagw.gateway._hedged_attempt import HedgedAttempt
 from wisteriagw.gateway._request_forwarder import (
     MIN_SERVER_ERROR_STATUS,
     RequestForwarder,
 )
 from wisteriagw.gateway._request_times import find_retry_after, find_timeout
+from wisteriagw.gateway._request_usage import RequestUsage
 from wisteriagw.gateway._server_access import ServerAccess
 from wisteriagw.outcomes import Answering, MayHaveRun, RefusedNotRun
 from wisteriagw.platform import encode_refusal, filter_headers, is_event_stream
@@ -50,8 +52,9 @@
         self._responder = responder
         self._received_at = context.reactor.seconds()
         self._deadline = self._received_at + find_timeout(admitted.route, caller)
-        access = ServerAccess(context, request, caller, admitted, self._deadline)
-        self._forwarder = RequestForwarder(access)
+        self._access = ServerAccess(context, request, caller, admitted, self._deadline)
+        self._usage = RequestUsage(context.usage, admitted.customer)
+        self._forwarder = RequestForwarder(self._access, self._usage)
         self._attempts = Attempts()
         self._error_answer: tuple[ResponseHead, bytes] | None = None
         self._splitter = EventSplitter(caller.last_event)
@@ -79,11 +82,14 @@
         self._running.cancel()
 
     async def _serve(self) -> None:
-        forwarder = self._forwarder
         while True:
-            last_event = self._splitter.last_id
+            forwarder, last_event = self._forwarder, self._splitter.last_id
             if self._continuing:
                 outcome = await forwarder.continue_run(last_event)
+            elif self._context.hedges is not None:
+                hedged = HedgedAttempt(self._access, forwarder, self._usage)
+                outcome = await hedged.run(self._attempts, last_event)
+                self._forwarder, self._attempts = hedged.forwarder, hedged.attempts
             else:
                 outcome = await forwarder.attempt(self._attempts.excluded, last_event)
             server = self._forwarder.server
@@ -261,7 +267,7 @@
             timer.cancel()
         self._forwarder.close()
         # Without the cycle, bodies are freed now and not by the garbage collector.
-        self._responder.on_disconnect = _ignore
+        self._responder.on_disconnect = lambda: None
         self._splitter.pop_incomplete()
         self._error_answer = None
         self._context.pool.budget.set_size(self, 0)
@@ -291,7 +297,3 @@
             first_event=round(self._first_event_seconds, 4),
             seconds=round(context.reactor.seconds() - self._received_at, 4),
         )
-
-
-def _ignore() -> None:
-    """Do nothing when the caller of a request that has ended disconnects."""
--- a/wisteriagw/gateway/_request_forwarder.py
+++ b/wisteriagw/gateway/_request_forwarder.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import TimeoutError
 
@@ -16,8 +16,11 @@
 from wisteriagw.placement import Plan
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from wisteriagw.connections import Response, ResponseHead
     from wisteriagw.fleet import BackendServer
+    from wisteriagw.gateway._request_usage import RequestUsage
     from wisteriagw.gateway._run_copy import RunCopy
     from wisteriagw.gateway._server_access import ServerAccess
     from wisteriagw.outcomes import Outcome
@@ -52,7 +55,7 @@
         Whether the backend server may be running the current attempt.
     """
 
-    def __init__(self, access: ServerAccess) -> None:
+    def __init__(self, access: ServerAccess, usage: RequestUsage) -> None:
         self.server = ""
         self.in_flight = False
         self._access = access
@@ -60,7 +63,7 @@
         self._detector = LossDetector(access)
         self._response: Response | None = None
         self._reservation: WorkReservation | None = None
-        self._usage_counted = False
+        self._usage = usage
         # Start of the attempt, of which _sent_at is reset to 0 with its first event.
         self._came_at = 0.0
         self._sent_at = 0.0
@@ -113,17 +116,21 @@
         return await self._send(terms, plan)
 
     async def read_part(self, response: Response, progress_at: float) -> bytes | None:
-        """Return the next part of a stream whose last event came at a time.
+        """Return the next part of a stream whose last event came at a time."""
+        return await self.watch(response.read_part, progress_at)
+
+    async def watch(self, read: Callable[[], Any], progress_at: float) -> Any:
+        """Return what ``read`` returns of a response that last progressed at a time.
 
         Fails with EngineUnreachableError if the engine is silent and unreachable, and
         the run can go on elsewhere.
         """
         may_go_on = self.has_backup() and not self._sent_at
         if not self._access.route.resumable and not may_go_on:
-            return await response.read_part()
+            return await read()
         silence = self._access.context.reactor.seconds() - progress_at
         limit = self._access.silence_seconds - silence
-        return await self._detector.wait(self.server, response.read_part, limit)
+        return await self._detector.wait(self.server, read, limit)
 
     def has_backup(self) -> bool:
         """Return whether another engine may keep a copy of the run that was lost."""
@@ -185,7 +192,7 @@
             )
         self._sent_at = 0.0
         self._running_since = now
-        self._count_usage()
+        self._usage.count()
 
     def record_answer(self, status: int) -> None:
         """Record that the answer is complete."""
@@ -194,6 +201,8 @@
         context = self._access.context
         now = context.reactor.seconds()
         if status < MIN_SERVER_ERROR_STATUS:
+            if context.hedges is not None:
+                context.hedges.budget.count_run(now - self._came_at, now)
             streaming = self._access.route.streaming
             if status == OK_STATUS and (not streaming or self._running_since):
                 self._record_sound_answer()
@@ -261,7 +270,7 @@
             reason = f"{type(error).__name__} {error}"
             access.record_loss(server.name, reason, "nothing", self._came_at)
             if not access.route.streaming:
-                self._count_usage()
+                self._usage.count()
             return MayHaveRun(str(error))
         access.notices.record(server, head)
         return self._classify_answer(head, terms)
@@ -280,7 +289,7 @@
         if terms.source is not None:
             self._prefill.record_fetched()
         if not self._access.route.streaming:
-            self._count_usage()
+            self._usage.count()
         return Answering(self._response, head)
 
     async def _read_head(self, response: Response) -> ResponseHead:
@@ -292,9 +301,3 @@
         if may_repeat and budget.retries >= 1 and timeout < (access.deadline - now) / 2:
             return await access.wait_for_head(response, self.server, timeout)
         return await response.read_head()
-
-    def _count_usage(self) -> None:
-        customer = self._access.customer
-        if not self._usage_counted and customer is not None:
-            self._usage_counted = True
-            self._access.context.usage.count(customer.name)
--- a/wisteriagw/gateway/_retry_budgets.py
+++ b/wisteriagw/gateway/_retry_budgets.py
@@ -41,6 +41,11 @@
         )
         return RetryBudget(remaining, now, RetryTerms(0.0, 0.0, max(0.0, remaining)))
 
+    def get_allowed(self, service: str, now: float) -> float:
+        """Return the retries of the current window, used ones included."""
+        ratio = ALLOWANCE_FRACTION * self._settings.retry_ratio
+        return self._get_window(service).compute_allowed(ratio, self._constant, now)
+
     def count_request(self, service: str, now: float) -> None:
         """Add the retries that a new request earns."""
         self._get_window(service).count_request(now)
--- a/wisteriagw/retries/__init__.py
+++ b/wisteriagw/retries/__init__.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from wisteriagw.retries._attempts import MAX_LOST_SERVERS, Attempts, record_attempt
+from wisteriagw.retries._attempts import (
+    MAX_LOST_SERVERS,
+    Attempts,
+    record_attempt,
+    record_cancelled,
+)
 from wisteriagw.retries._decision import decide_retry
 from wisteriagw.retries._retry_budget import (
     RetryBudget,
@@ -33,5 +38,6 @@
     "decide_retry",
     "decide_stream_step",
     "record_attempt",
+    "record_cancelled",
     "refill",
 ]
--- a/wisteriagw/retries/_attempts.py
+++ b/wisteriagw/retries/_attempts.py
@@ -49,3 +49,13 @@
         attempts.may_have_run or lost,
         attempts.lost_servers + lost,
     )
+
+
+def record_cancelled(
+    attempts: Attempts, backend_server: str, may_have_run: bool
+) -> Attempts:
+    """Return the attempts with one more that was cancelled before its outcome."""
+    return attempts._replace(
+        excluded=(*attempts.excluded, backend_server),
+        may_have_run=attempts.may_have_run or may_have_run,
+    )
--- a/wisteriagw/retries/_retry_window.py
+++ b/wisteriagw/retries/_retry_window.py
@@ -54,10 +54,14 @@
         now : float
             Time in seconds.
         """
-        self._expire(now)
-        allowed = constant + per_request * self._request_count
+        allowed = self.compute_allowed(per_request, constant, now)
         return allowed - len(self._retried_at)
 
+    def compute_allowed(self, per_request: float, constant: float, now: float) -> float:
+        """Return the retries of the window that ends now, used ones included."""
+        self._expire(now)
+        return constant + per_request * self._request_count
+
     def _expire(self, now: float) -> None:
         while self._requests and self._requests[0][0] <= now - self._seconds:
             self._request_count -= self._requests.popleft()[1]
