--- a/tests/support/_hedging_gateway.py
+++ b/tests/support/_hedging_gateway.py
@@ -55,5 +55,10 @@
             if kind == "hedge_result"
         ]
 
+    def count_denied(self, reason: str) -> float:
+        """Return the number of hedges that a limit has denied."""
+        counter = self.context.metrics.hedges_denied.labels("desk", reason)
+        return counter._value.get()
+
     def _record(self, decision: str, **fields) -> None:
         self.lines.append((decision, fields))
--- a/tests/test_hedged_requests.py
+++ b/tests/test_hedged_requests.py
@@ -2,17 +2,23 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from twisted.internet.defer import Deferred
+from twisted.internet.testing import MemoryReactorClock
 
 from tests.support._gateway_fixture import SETTINGS, GatewayFixture
-from tests.support._hedging_gateway import HedgingGateway
+from tests.support._hedging_gateway import LATE_SECONDS, HedgingGateway
 from tests.support._send_times import STEP_SECONDS, SendTimes
+from tests.test_platform import SETTINGS as PLATFORM_SETTINGS
 from wisteriagw.gateway._hedges import build_hedges
 from wisteriagw.gateway._main import main
+from wisteriagw.gateway._node import Node
 from wisteriagw.notices import RateLimit
+from wisteriagw.platform import parse_settings
 
 EVENT = b"id: 1\ndata: t\n\n"
 OTHER_EVENT = b"id: 1\ndata: other\n\n"
@@ -44,6 +50,11 @@
             if not line.startswith("#")
         )
 
+    @pytest.mark.parametrize("limit", [0.0, 5.0])
+    def test_process_hedges_only_with_a_limit(self, limit: float) -> None:
+        node = Node(MemoryReactorClock(), parse_settings(PLATFORM_SETTINGS), 1, limit)
+        assert (node.context.hedges is not None) == (limit > 0.0)
+
     @pytest.mark.parametrize("value", ["21", "-1", "much", ""])
     def test_other_values_end_the_start_with_status_2(
         self, value: str, monkeypatch, capsys
@@ -71,6 +82,9 @@
         assert gateway.work.list_own_work() == []
         assert gateway.count_usage() == 1
         assert gateway.list_results() == [("won", "")]
+        # The first attempt was in vain from its start on.
+        left = gateway.hedges.budget.compute_available(gateway.clock.seconds())
+        assert left == pytest.approx(20.0 - LATE_SECONDS)
 
     def test_first_wins_and_the_hedge_is_closed_at_once(self) -> None:
         gateway = HedgingGateway()
@@ -81,7 +95,8 @@
         assert gateway.list_results() == [("cancelled", "first_answered")]
         assert gateway.work.list_own_work() == []
 
-    def test_first_answers_while_the_hedge_connects(self) -> None:
+    @pytest.mark.parametrize("leaves", [False, True])
+    def test_request_ends_while_the_hedge_connects(self, leaves: bool) -> None:
         gateway = HedgingGateway()
         responder = gateway.request("safe")
         cancelled: list = []
@@ -91,9 +106,13 @@
             return await connecting
 
         gateway.pool.send = connect
-        gateway.clock.advance(0.15)
-        gateway.pool.sent[0].reply(200, b"ok")
-        assert responder.body == b"ok" and cancelled == [connecting]
+        gateway.clock.advance(LATE_SECONDS)
+        if leaves:
+            responder.on_disconnect()
+        else:
+            gateway.pool.sent[0].reply(200, b"ok")
+            assert responder.body == b"ok"
+        assert cancelled == [connecting]
         assert gateway.work.list_own_work() == []
 
     def test_server_error_does_not_win_over_the_other_attempt(self) -> None:
@@ -104,7 +123,7 @@
         assert not responder.started and not second.aborted
         second.reply(200, b"ok")
         assert responder.body == b"ok"
-        assert gateway.work.list_own_work() == []
+        assert gateway.work.list_own_work() == [] and gateway.count_usage() == 1
         server = gateway.fleet.fleet.servers[gateway.find_server(0)]
         assert gateway.notices.table.find(server) is not None
 
@@ -134,7 +153,7 @@
         responder = gateway.request("safe")
         if unreachable:
             gateway.pool.unreachable = {(f"10.0.0.{n}", 80) for n in (1, 2, 3)}
-        gateway.clock.advance(0.15)
+        gateway.clock.advance(LATE_SECONDS)
         if not unreachable:
             gateway.pool.sent[1].reply(503, x_wisteriagw_not_executed="1")
         assert not responder.started
@@ -161,10 +180,13 @@
 
     def test_hedge_ends_with_the_time_reserved_for_it(self) -> None:
         gateway = HedgingGateway()
-        gateway.start_late()
+        responder = gateway.start_late()
         gateway.clock.advance(0.24)
         assert gateway.pool.sent[1].aborted and not gateway.pool.sent[0].aborted
         assert gateway.list_results() == [("cancelled", "limit")]
+        # The hedge was the second of two attempts, and may have run.
+        gateway.pool.sent[0].reply(503, x_wisteriagw_not_executed="1")
+        assert responder.status == 502 and len(gateway.pool.sent) == 2
 
 
 class TestStream:
@@ -196,7 +218,7 @@
         gateway = HedgingGateway()
         gateway.request(**STREAM)
         gateway.pool.sent[0].start(200, content_type="text/event-stream")
-        gateway.clock.advance(0.15)
+        gateway.clock.advance(LATE_SECONDS)
         assert len(gateway.pool.sent) == 2
 
     def test_run_lost_before_its_first_event_leaves_the_other(self) -> None:
@@ -223,7 +245,7 @@
         if reason == "gone":
             responder.on_disconnect()
         elif reason == "deadline":
-            gateway.clock.advance(0.15)
+            gateway.clock.advance(LATE_SECONDS)
         else:
             gateway.handler.end_requests()
         aborted = [sent.aborted for sent in gateway.pool.sent]
@@ -266,8 +288,7 @@
     def deny(self, gateway: HedgingGateway, reason: str) -> None:
         gateway.start_late()
         assert len(gateway.pool.sent) == 1
-        sample = f'hedges_denied_total{{limit="{reason}",service="desk"}} 1.0'
-        assert sample in gateway.context.metrics.render().decode()
+        assert gateway.count_denied(reason) == 1
 
     def test_no_data(self) -> None:
         gateway = HedgingGateway()
@@ -289,7 +310,7 @@
         self.deny(gateway, "queue")
 
     def test_limit_of_server_seconds(self) -> None:
-        self.deny(HedgingGateway(run_seconds=1.0), "limit")
+        self.deny(HedgingGateway(run_seconds=1.5), "limit")
 
     def test_retries_after_failures_keep_half_of_the_budget(self) -> None:
         gateway = HedgingGateway()
@@ -308,14 +329,14 @@
 
     def test_quarantine(self) -> None:
         gateway = HedgingGateway()
-        responder = gateway.request("safe")
         crashing = gateway.context.crashing_parts
+        quarantine = SimpleNamespace(parts=(), until=2e3, seconds=60.0)
+        gateway.request("safe")
         crashing.has_quarantines = lambda: True
-        crashing.find_quarantine = lambda parts: type(
-            "Quarantine", (), {"parts": (), "until": 2e3, "seconds": 60.0}
-        )
-        gateway.clock.advance(0.15)
-        assert len(gateway.pool.sent) == 1 and not responder.started
+        crashing.find_quarantine = lambda parts: quarantine
+        gateway.clock.advance(LATE_SECONDS)
+        assert gateway.count_denied("quarantine") == 1
+        assert len(gateway.pool.sent) == 1
 
     def test_servers_with_notices_take_no_hedges(self) -> None:
         gateway = HedgingGateway()
@@ -325,18 +346,26 @@
             if server.name != first:
                 limit = RateLimit(server.name, server.born, 100.0)
                 gateway.notices.record(limit)
-        gateway.clock.advance(0.15)
+        gateway.clock.advance(LATE_SECONDS)
         assert len(gateway.pool.sent) == 1
 
-    def test_failing_data_centre_takes_no_hedges(self) -> None:
+    @pytest.mark.parametrize("centre", ["north", "south"])
+    def test_failing_data_centre_is_avoided_if_there_is_another(
+        self, centre: str
+    ) -> None:
         gateway = HedgingGateway()
         servers, now = gateway.fleet.fleet.servers, gateway.clock.seconds()
-        servers["desk-3"] = servers["desk-3"]._replace(data_centre="south")
+        servers["desk-3"] = servers["desk-3"]._replace(data_centre=centre)
         gateway.work.mark_unavailable("desk-3", now + 0.1)
         gateway.request("safe")
-        gateway.work.record_failure(gateway.find_server(0), now)
-        gateway.clock.advance(0.15)
-        assert gateway.find_server(1) == "desk-3"
+        failing = (
+            ("desk-1", "desk-2") if centre == "north" else (gateway.find_server(0),)
+        )
+        for name in failing:
+            gateway.work.record_failure(name, now)
+        gateway.clock.advance(LATE_SECONDS)
+        assert centre == "north" or gateway.find_server(1) == "desk-3"
+        assert len(gateway.pool.sent) == 2
 
 
 class TestLimit:
--- a/wisteriagw/gateway/_hedge_side.py
+++ b/wisteriagw/gateway/_hedge_side.py
@@ -40,13 +40,12 @@
         return self.outcome is None and not self.cancelled
 
     def cancel(self) -> None:
-        """End the attempt and close its connection, which ends its work."""
+        """End the attempt; its forwarder is to be closed, which ends its work."""
         if not self.is_running:
             return
         self.cancelled = True
         if self.running is not None:
             self.running.cancel()
-        self.forwarder.close()
 
 
 def is_good(outcome: Outcome | Answering) -> bool:
