--- a/wisteriagw/gateway/_context.py
+++ b/wisteriagw/gateway/_context.py
@@ -16,6 +16,7 @@
     from wisteriagw.gateway._demand_meter import DemandMeter
     from wisteriagw.gateway._engine_rate_table import EngineRateTable
     from wisteriagw.gateway._fleet_feed import FleetFeed
+    from wisteriagw.gateway._hedges import Hedges
     from wisteriagw.gateway._metrics import GatewayMetrics
     from wisteriagw.gateway._pending_updates import PendingUpdates
     from wisteriagw.gateway._retry_budgets import RetryBudgets
@@ -51,3 +52,5 @@
     sums: SumTable
     demand: DemandMeter
     speeds: SpeedTable
+    # None if the limit is 0.
+    hedges: Hedges | None = None
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -33,6 +33,7 @@
 from wisteriagw.gateway._engine_rate_table import EngineRateTable
 from wisteriagw.gateway._fleet_feed import FleetFeed, find_read_wait
 from wisteriagw.gateway._gauges import update_gauges
+from wisteriagw.gateway._hedges import build_hedges
 from wisteriagw.gateway._lost_usage_writer import LostUsageWriter
 from wisteriagw.gateway._member import build_member, format_address
 from wisteriagw.gateway._members import Members
@@ -77,8 +78,15 @@
 class Node:
     """Builds the components of the process and runs them until it is stopped."""
 
-    def __init__(self, reactor: Any, settings: NodeSettings, metrics_port: int) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        settings: NodeSettings,
+        metrics_port: int,
+        hedge_limit: float = 0.0,
+    ) -> None:
         self.stopping = False
+        self._hedge_limit = hedge_limit
         self._reactor = reactor
         self._settings = settings
         self._metrics_address = (settings.front[0], metrics_port)
@@ -228,6 +236,7 @@
             sums,
             DemandMeter(reactor.seconds, rates),
             SpeedTable(sums),
+            build_hedges(self._hedge_limit, settings.retry_window, sums),
         )
 
     def _build_directory(self) -> ServerFactory:
