Keep the pause between orders whose answers are lost

Cause: an order without an answer counted as none, so each repeat looked like an increase and was sent in every cycle: 16 calls in 8 s in the play. Change: an increase is judged by the latest order that was sent, whatever became of it.

--- a/tests/support/_scaling_play.py
+++ b/tests/support/_scaling_play.py
@@ -112,9 +112,9 @@
     async def order_servers(self, service, data_centre, count, reclaimable, number):
         """Carry out an order as the platform does."""
         now = self.clock.seconds()
+        self.orders.append((now, data_centre, count))
         if reclaimable and data_centre in self.refusing:
             return Done(409, b"")
-        self.orders.append((now, data_centre, count))
         if self.lost:
             self.clock.callLater(self.late_seconds, self._set, data_centre, count)
             return MayHaveRun("lost")
--- a/tests/test_demand_scaling.py
+++ b/tests/test_demand_scaling.py
@@ -119,6 +119,17 @@
         assert play.lack_seconds == 0
         assert play.count("north") >= FLOOR
 
+    @pytest.mark.parametrize("cause", ["refused", "lost"])
+    def test_failed_order_is_repeated_after_a_pause(self, cause: str) -> None:
+        """Each order costs a call."""
+        play = start((0.2, 0.5), settle=400.0)
+        if cause == "refused":
+            play.refusing.add("north")
+        play.lost, play.late_seconds = cause == "lost", 60.0
+        play.lose("north")
+        play.run(8.0)
+        assert sum(centre == "north" for _, centre, _ in play.orders) == 4
+
     def test_others_take_the_part_of_a_data_centre_without_servers(self) -> None:
         play = start(settle=300.0)
         count = play.count("south")
--- a/wisteriagw/gateway/_centre_orders.py
+++ b/wisteriagw/gateway/_centre_orders.py
@@ -11,10 +11,12 @@
 
     Attributes
     ----------
+    asked : int
+        Servers of the latest order, whatever its outcome.
     count : int
-        Servers of the latest order that may have had an effect.
+        Servers of the latest accepted order; 0 if the answer of a later one was lost.
     ordered_at : float
-        Time of that order.
+        Time of the latest order that may have had an effect.
     registered : int
         Highest number of servers that have been registered since.
     released_at : float
@@ -25,6 +27,7 @@
         Time from which servers have been missing.
     """
 
+    asked: int = 0
     count: int = 0
     ordered_at: float = -math.inf
     registered: int = 0
--- a/wisteriagw/gateway/_demand_orders.py
+++ b/wisteriagw/gateway/_demand_orders.py
@@ -83,7 +83,7 @@
             return False
         key = (service.name, order.data_centre)
         centre = self._centres.get(key, CentreOrders())
-        return order.count > centre.count
+        return order.count > centre.asked
 
     def record(
         self,
@@ -99,6 +99,7 @@
         registered = capacity.dependable + capacity.reclaimable
         if order.reclaimable is not prefers_reclaimable(service):
             return
+        centre = centre._replace(asked=order.count)
         if order.count < get_kind_count(capacity, order):
             # Also without an answer: the order may be carried out later.
             centre = centre._replace(released_at=now, needed_at=now)
