--- a/tests/test_speed_placement.py
+++ b/tests/test_speed_placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import zlib
 from collections import Counter
@@ -23,11 +24,13 @@
     expect_answer,
     expect_first_event,
 )
+from wisteriagw.placement._choice import SPLIT_OVERHEAD_SECONDS
 from wisteriagw.routes import EngineTraits
 from wisteriagw.speeds import SpeedSample, limit_speed
 from wisteriagw.speeds._speed_table import TABLE, build_key
 
 TRAITS = EngineTraits(64, 500_000, 18_432, 370_000.0, 5.0, 3.0)
+RATES = EngineRates(50_000.0)
 
 
 class TestPlacementBySpeed:
@@ -58,21 +61,21 @@
         plan = choose_server((slow, fast), "north", random.Random(1).random)
         assert plan.server == "fast"
 
-    @pytest.mark.parametrize("stage", ["decode", "prefill"])
-    def test_estimates_of_engines_are_relative_to_speed(self, stage: str) -> None:
-        prompt = Prompt("m", 20_000, 50)
-        engines = [
-            ServerView(name, "north", stage, 8, 20_000.0, 12.0, speed=speed)
-            for name, speed in (("slow", 0.6), ("fast", 1.6))
-        ]
-        answering = ServerView("d", "north", "decode", 64)
-        views = [*engines, answering] if stage == "prefill" else engines
-        draw = random.Random(1).random
-        plan = choose_plan(prompt, views, EngineRates(50_000.0), TRAITS, "north", draw)
-        assert "fast" in (plan.server, plan.prefill)
-        rate = 50_000.0 * 1.6 * (0.5 if stage == "decode" else 1.0)
-        wait = 1.0 / 1.6 * (13 / 8 - 1) if stage == "decode" else 0.0
-        assert plan.queue_seconds == pytest.approx(20_000.0 / rate + wait)
+    @pytest.mark.parametrize("split", [False, True])
+    def test_estimates_of_engines_are_relative_to_speed(self, split: bool) -> None:
+        traits = TRAITS._replace(link_mbps=0.0)
+        found = []
+        for speed in (1.0, 2.0):
+            views = [ServerView("d", "north", "decode", 8, 20_000.0, 12.0, speed=speed)]
+            if split:
+                views.append(ServerView("p", "north", "prefill", 8, speed=speed))
+            plan = choose_plan(
+                Prompt("m", 20_000, 50), views, RATES, traits, "north", lambda: 0.5
+            )
+            assert bool(plan.prefill) is split
+            seconds = plan.seconds - SPLIT_OVERHEAD_SECONDS * split
+            found.append((seconds, plan.queue_seconds))
+        assert found[0] == pytest.approx([2 * seconds for seconds in found[1]])
 
     def test_fastest_server_does_not_draw_all_requests(self) -> None:
         """All VMs know the same speeds; comparing all servers would meet at one."""
@@ -157,6 +160,13 @@
         kinds = {kind for _, kind in gateway.speeds._baselines}
         assert kinds == {"first event:ask", "stream:ask"}
 
+    def test_prefill_calls_are_samples(self) -> None:
+        gateway = self.start()
+        gateway.add_server("lm-9", "lm", 19, stage="prefill")
+        gateway.request("long", prompt="17000,100")
+        gateway.pool.sent[0].reply(200, b'{"kv_handle": "h"}')
+        assert list(gateway.speeds._baselines) == [("lm", "prefill")]
+
     def test_queue_is_expected(self) -> None:
         """A server would look slow because of the requests that wait there."""
         view = ServerView("s", "north", "decode", 4, streams=7.0, speed=0.5)
@@ -226,6 +236,17 @@
             self.prefill(gateway, name, 2_500.0, {"lm-1": 0.4, "lm-2": 1.6}[name])
         assert gateway.context.rates.get("lm").tokens_per_second > 15_000.0
 
+    def test_stream_seconds_are_scaled_and_resumed_streams_are_no_samples(self) -> None:
+        gateway = self.start()
+        server = gateway.fleet.fleet.servers["lm-1"]
+        gateway.speeds._logs[build_key(server)] = -1.0
+        timing = self.start_timing(gateway, server, object())
+        timing._access.caller.last_event = 5
+        timing.record_stream(math.e)
+        stream_seconds = gateway.context.rates.get("lm").stream_seconds
+        assert stream_seconds == pytest.approx(1.0, abs=0.001)
+        assert gateway.speeds._baselines == {}
+
     def test_removal_from_the_register_resets_the_speed(self) -> None:
         gateway = self.start()
         server = gateway.fleet.fleet.servers["desk-1"]
--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -105,6 +105,15 @@
         rows = dict(vm.table.list_rows(vm.now))
         assert len(rows) == MAX_ROWS
         assert build_key(SERVERS[0]) in rows
+        assert vm.table.list_rows(vm.now + 60.0) == []
+
+    def test_first_answers_of_a_kind_only_set_the_baseline(self) -> None:
+        vm = Vm()
+        for _ in range(10):
+            vm.record(SERVERS[0], 0.1)
+        assert vm.table.list_rows(vm.now) == []
+        vm.record(SERVERS[0], 0.1)
+        assert len(vm.table.list_rows(vm.now)) == 1
 
     def test_speeds_within_the_threshold_are_one(self) -> None:
         assert limit_speed(0.13) == limit_speed(-0.13) == 1.0
