Release half of a surplus of servers at a time, and pause refused orders

While no server was available the same order was sent every 0.5 s, because an increase skips the pause. Change: half of the surplus is released at a time, and a refused order waits for its pause.

--- a/wisteriagw/gateway/_scaler.py
+++ b/wisteriagw/gateway/_scaler.py
@@ -82,7 +82,8 @@
             return
         known = {capacity.data_centre: capacity for capacity in capacities}
         for order in self._demand.plan(service, capacities):
-            if self._demand.is_increase(service, order):
+            refused = self._refused_since.get((service.name, order.data_centre))
+            if refused is None and self._demand.is_increase(service, order):
                 key = (service.name, order.data_centre, order.reclaimable)
                 self._paused_until.pop(key, None)
             outcome = await self._send(service, order)
--- a/wisteriagw/spending/_scaled_planning.py
+++ b/wisteriagw/spending/_scaled_planning.py
@@ -30,7 +30,7 @@
         if capacity.dependable < target:
             return [CentreOrder(name, False, target)]
         if capacity.dependable > target and may_release:
-            return [CentreOrder(name, False, capacity.dependable - 1)]
+            return [CentreOrder(name, False, keep_half(capacity.dependable, target))]
         return []
     orders = []
     if capacity.reclaimable < target:
@@ -41,7 +41,17 @@
         if in_place or (capacity.accepted and in_the_way):
             orders.append(CentreOrder(name, False, 0))
     elif capacity.reclaimable > target and may_release:
-        orders.append(CentreOrder(name, True, capacity.reclaimable - 1))
+        kept = keep_half(capacity.reclaimable, target)
+        orders.append(CentreOrder(name, True, kept))
     if count < target and capacity.refused_seconds >= FALLBACK_DELAY_SECONDS:
         orders.append(CentreOrder(name, False, target - capacity.reclaimable))
     return orders
+
+
+def keep_half(count: int, target: int) -> int:
+    """Return the servers that are left after a release of half of the surplus.
+
+    Load: a long calm after a peak. One server at a time takes minutes, and all at once
+    leaves nothing if the demand returns.
+    """
+    return count - (count - target + 1) // 2
