Append a data centre's usage through a relay

Cause: each VM appended its counts after each window, so the billed calls grew with the VMs. Change: in data centres with more than two VMs, a VM names an ended window to its first relay beside all its counts. The relay appends the counts of its VMs in one call and confirms the digest of what it appended. A VM writes by itself what is not confirmed for exactly its present counts 2.5 s after the window (a quarter of usage_late_s), and everything after the signal to stop. New message fields are last and have defaults.

--- a/tests/support/_simulated_fleet.py
+++ b/tests/support/_simulated_fleet.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from types import SimpleNamespace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from twisted.internet.task import Clock
 
@@ -23,6 +23,9 @@
 from wisteriagw.standins import TopicStore
 from wisteriagw.sums import SumTable
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 STEP_SECONDS = 0.05
 LINK_SECONDS = 0.05
 # The clocks of VMs count from boot and have unrelated readings.
@@ -30,9 +33,16 @@
 
 
 class SkewedClock:
-    """Clock of one VM with its own origin and the common rate."""
+    """Clock of one VM with its own origin and the common rate.
+
+    Attributes
+    ----------
+    stopped : bool
+        Whether the process has been killed, so that its timers have no effect.
+    """
 
     def __init__(self, clock: Clock, skew: float) -> None:
+        self.stopped = False
         self._clock = clock
         self._skew = skew
 
@@ -40,7 +50,11 @@
         return self._clock.seconds() + self._skew
 
     def callLater(self, delay: float, function: Any, *arguments: Any) -> Any:
-        return self._clock.callLater(delay, function, *arguments)
+        return self._clock.callLater(delay, self._run, function, *arguments)
+
+    def _run(self, function: Any, *arguments: Any) -> None:
+        if not self.stopped:
+            function(*arguments)
 
 
 class SimulatedLinks:
@@ -74,11 +88,19 @@
 class SimulatedGateway:
     """State of a gateway, without callers and with idle followers of the store."""
 
-    def __init__(self, fleet: SimulatedFleet, vm: str, data_centre: str) -> None:
+    def __init__(
+        self,
+        fleet: SimulatedFleet,
+        vm: str,
+        data_centre: str,
+        build_store: Callable[[SkewedClock], Any] = lambda clock: TopicStore(),
+        wall_clock: Callable[[], float] | None = None,
+        incarnation: str = "",
+    ) -> None:
         number = len(fleet.gateways)
         self.clock = SkewedClock(fleet.clock, number * SKEW_SECONDS)
         self.mesh = SimulatedLinks(fleet, vm)
-        self.store = TopicStore()
+        self.store = build_store(self.clock)
         self.work = WorkTable()
         self.sums = SumTable()
         self.configuration = ConfigurationFeed(
@@ -89,9 +111,9 @@
         self.fleet = FleetFeed(
             self.clock, self.store, lambda server: None, notices=self.notices
         )
-        self.usage = UsageCounter(5.0, self.clock.seconds)
+        self.usage = UsageCounter(5.0, wall_clock or self.clock.seconds)
         self.copies = UsageCopies()
-        self.member = Member(vm, data_centre, f"{vm}:80", vm, 7000, "1", 0.5)
+        self.member = Member(vm, data_centre, "10.0.0.1:80", "10.0.0.1", 7000, "1", 0.5)
         self.members = Members(self.clock, self.store, self.member)
         self.ready = True
         self.crashing_parts = CrashingParts(self.clock.seconds)
@@ -116,7 +138,7 @@
             self.mesh,
             self.members,
             self.copies,
-            f"process of {vm}",
+            incarnation or f"process of {vm}",
             lambda: self.ready,
         )
 
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -37,6 +37,7 @@
 from wisteriagw.gateway._quarantine_store import QuarantineStore
 from wisteriagw.gateway._request_handler import RequestHandler
 from wisteriagw.gateway._retry_budgets import RetryBudgets
+from wisteriagw.gateway._served_usage_writer import ServedUsageWriter
 from wisteriagw.gateway._update_exchange import UpdateExchange
 from wisteriagw.gateway._usage_copies import UsageCopies
 from wisteriagw.gateway._usage_counter import UsageCounter
@@ -61,6 +62,7 @@
 DUTY_INTERVAL_SECONDS = 0.5
 # Counts of an ended process must be in the store before its window is sealed.
 LOST_USAGE_INTERVAL_SECONDS = 0.5
+SERVED_USAGE_INTERVAL_SECONDS = 0.1
 INCARNATION_BYTES = 8
 # Time to exit before the platform kills the process after the signal to stop.
 EXIT_MARGIN_SECONDS = 0.7
@@ -104,6 +106,7 @@
             reactor, store, self.context.crashing_parts, wall_clock
         )
         self._lost_usage = LostUsageWriter(store, self._copies)
+        self._served_usage = ServedUsageWriter(store, self._copies.served)
         self._duties = AuthorityDuties(
             self.context,
             calls,
@@ -130,6 +133,8 @@
             incarnation,
             settings.usage_window,
             wall_clock,
+            settings.usage_due,
+            self._is_usage_delegated,
         )
         self._requests = RequestHandler(self.context)
         self._front = ServerFactory(
@@ -158,6 +163,7 @@
         self._exchange.start()
         self._repeat(SWEEP_INTERVAL_SECONDS, self._sweep)
         self._repeat(LOST_USAGE_INTERVAL_SECONDS, self._write_lost_usage)
+        self._repeat(SERVED_USAGE_INTERVAL_SECONDS, self._write_served_usage)
         self._repeat(DUTY_INTERVAL_SECONDS, self._duties.run_cycle)
         logger.info("VM %s in %s started", settings.vm, settings.data_centre)
 
@@ -276,6 +282,14 @@
         cycle = self._lost_usage.run_cycle(self._reactor.seconds())
         return Deferred.fromCoroutine(cycle)
 
+    def _is_usage_delegated(self) -> bool:
+        relay = self.context.pending_updates.usage_relay
+        return relay is not None and not self.stopping
+
+    def _write_served_usage(self) -> Deferred[None]:
+        cycle = self._served_usage.run_cycle(self._reactor.seconds())
+        return Deferred.fromCoroutine(cycle)
+
     def _sweep(self) -> None:
         context = self.context
         context.pool.close_idle()
--- a/wisteriagw/gateway/_pending_updates.py
+++ b/wisteriagw/gateway/_pending_updates.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from wisteriagw.gateway._delta_queue import DeltaQueue
+from wisteriagw.gateway._due_usage import NO_WINDOW, DueUsage
 
 if TYPE_CHECKING:
     from wisteriagw.gateway._usage_counter import UsageCounter
@@ -21,12 +22,17 @@
     ----------
     queue : DeltaQueue
         Rows for the next update.
+    usage_relay : str or None
+        VM that writes the usage of this one, None if it is written separately.
     """
 
     def __init__(self, usage: UsageCounter) -> None:
         self.queue = DeltaQueue()
         self._usage = usage
+        self.usage_relay: str | None = None
         self._usage_sent_at = float("-inf")
+        # Window that a relay was last sent to store, and the digest of its counts.
+        self._closed_sent = (NO_WINDOW, 0)
 
     def add_parts(self, server: str, parts: list[tuple[str, int]]) -> None:
         """Add parts that an engine caches from now on."""
@@ -36,9 +42,19 @@
         """Add that a server is sent no requests for some seconds."""
         self.queue.add_unavailable(((server, seconds),))
 
-    def pop_due_usage(self, now: float) -> tuple:
-        """Return the usage rows that are due, or none."""
-        if now - self._usage_sent_at < USAGE_INTERVAL_SECONDS:
-            return ()
+    def pop_due_usage(self, now: float) -> DueUsage:
+        """Return the usage rows that are due, or none.
+
+        For a relay that writes them they are also due at the end of a window, and the
+        window is named until the relay has confirmed its counts.
+        """
+        closed = NO_WINDOW if self.usage_relay is None else self._usage.find_closed()
+        to_store = self._closed_sent
+        if closed != NO_WINDOW:
+            to_store = (closed, self._usage.compute_digest(closed))
+        recent = now - self._usage_sent_at < USAGE_INTERVAL_SECONDS
+        if recent and to_store == self._closed_sent:
+            return DueUsage()
         self._usage_sent_at = now
-        return tuple(self._usage.list_rows(USAGE_WINDOWS))
+        self._closed_sent = to_store
+        return DueUsage(tuple(self._usage.list_rows(USAGE_WINDOWS)), closed)
--- a/wisteriagw/gateway/_update_exchange.py
+++ b/wisteriagw/gateway/_update_exchange.py
@@ -83,7 +83,15 @@
         queues = RelayQueues(DeltaQueue(), DeltaQueue())
         sent = SentUpdateLog(settings.vm)
         self._sender = UpdateSender(
-            context, mesh, members, self._tracker, queues, sent, incarnation, is_ready
+            context,
+            mesh,
+            members,
+            self._tracker,
+            queues,
+            sent,
+            incarnation,
+            is_ready,
+            copies.served,
         )
         self._receiver = UpdateReceiver(
             context,
@@ -94,6 +102,7 @@
             sent,
             copies,
             self._initial_state,
+            incarnation,
         )
         self._crash_reports = ReportExchange(
             mesh, context.crashing_parts, self._reactor, CrashReports, CrashReportQueue
--- a/wisteriagw/gateway/_update_receiver.py
+++ b/wisteriagw/gateway/_update_receiver.py
@@ -5,7 +5,9 @@
 from typing import TYPE_CHECKING, Any
 
 from wisteriagw.gateway._deltas import Deltas
+from wisteriagw.gateway._due_usage import NO_WINDOW, get_window_counts
 from wisteriagw.gateway._read_confirmation import apply_read_confirmation
+from wisteriagw.gateway._served_window import ServedWindow
 from wisteriagw.messages import (
     CachedPartsTransfer,
     FleetUpdate,
@@ -44,6 +46,7 @@
         sent: SentUpdateLog,
         copies: UsageCopies,
         initial_state: InitialStateTransfer,
+        incarnation: str,
     ) -> None:
         self._context = context
         self._reactor: Any = context.reactor
@@ -53,6 +56,7 @@
         self._sent = sent
         self._copies = copies
         self._initial_state = initial_state
+        self._incarnation = incarnation
         self._vm = context.settings.vm
         self._data_centre = context.settings.data_centre
         mesh.subscribe(GatewayUpdate, self._handle_gateway_update)
@@ -85,6 +89,7 @@
         self._context.work.apply_peer_work(sender, update.work, now)
         self._context.sums.apply_peer_rows(sender, update.sums, now)
         self._copies.record_counts(sender, update.incarnation, update.usage, now)
+        self._record_closed_window(sender, update, now)
         self._initial_state.record_process(sender, update.incarnation)
         self._queues.for_relays.add(self._forward(update, now))
 
@@ -105,6 +110,9 @@
     def _handle_fleet_update(self, sender: str, update: FleetUpdate) -> None:
         now = self._reactor.seconds()
         self._tracker.failure_detector.record_message(sender, now)
+        for incarnation, window, digest in update.usage_stored:
+            if incarnation == self._incarnation:
+                self._context.usage.record_stored(window, digest)
         peers = self._tracker.peers
         if peers.is_relay or sender not in peers.relays:
             return
@@ -137,6 +145,16 @@
             self.record_parts(server, ((part, tokens),))
         self._queues.for_served_vms.add_parts(transfer.parts)
 
+    def _record_closed_window(
+        self, sender: str, update: GatewayUpdate, now: float
+    ) -> None:
+        window = update.closed_window
+        if window == NO_WINDOW:
+            return
+        counts = get_window_counts(update.usage, window)
+        key = ServedWindow(sender, update.incarnation, window)
+        self._copies.served.record_closed(key, counts, now)
+
     def _observe_store(self, update: GatewayUpdate | RelayUpdate | FleetUpdate) -> None:
         # An era of 0 is also that of a sender that knows none.
         self._context.eras.observe(update.era or None)
--- a/wisteriagw/gateway/_update_sender.py
+++ b/wisteriagw/gateway/_update_sender.py
@@ -5,6 +5,9 @@
 from typing import TYPE_CHECKING, Any
 
 from wisteriagw.gateway._deltas import Deltas
+from wisteriagw.gateway._due_usage import NO_WINDOW, DueUsage
+from wisteriagw.gateway._served_window import ServedWindow
+from wisteriagw.gateway._usage_delegation import choose_usage_relay
 from wisteriagw.messages import FleetUpdate, GatewayUpdate, RelayUpdate
 
 if TYPE_CHECKING:
@@ -13,6 +16,7 @@
     from wisteriagw.gateway._relay_peer_tracker import RelayPeerTracker
     from wisteriagw.gateway._relay_queues import RelayQueues
     from wisteriagw.gateway._sent_update_log import SentUpdateLog
+    from wisteriagw.gateway._served_usage import ServedUsage
     from wisteriagw.mesh import Mesh
     from wisteriagw.relays import RelayPeers
 
@@ -33,6 +37,7 @@
         sent: SentUpdateLog,
         incarnation: str,
         is_ready: Any,
+        served_usage: ServedUsage,
     ) -> None:
         settings = context.settings
         self._context = context
@@ -44,6 +49,7 @@
         self._sent = sent
         self._incarnation = incarnation
         self._is_ready = is_ready
+        self._served_usage = served_usage
         self._vm = settings.vm
         self._data_centre = settings.data_centre
         self._listed_at = float("-inf")
@@ -51,14 +57,14 @@
     def send(self, peers: RelayPeers, now: float) -> None:
         """Send what has changed since the last updates."""
         deltas = self._pop_own_deltas(now)
-        usage = self._context.pending_updates.pop_due_usage(now)
+        usage = self._pop_due_usage(peers, now)
         sums = self._context.sums.list_own(now)
         if peers.is_relay:
             self._queues.for_relays.add(deltas)
             self._queues.for_served_vms.add(deltas)
             earliest = self._members.find_earliest_start(now)
             oldest = now - min(self._started_at, earliest)
-            self._send_relay_update(peers, usage, sums, oldest, now)
+            self._send_relay_update(peers, usage.rows, sums, oldest, now)
             self._send_fleet_update(peers, sums, oldest, now)
             deltas = Deltas()
         else:
@@ -66,6 +72,33 @@
             self._context.fleet.pop_changes()
         self._send_gateway_update(peers, deltas, usage, sums, now)
 
+    def _pop_due_usage(self, peers: RelayPeers, now: float) -> DueUsage:
+        """Choose the relay that writes the usage, and return the rows that are due."""
+        context, served = self._context, self._served_usage
+        local = sum(
+            member.data_centre == self._data_centre
+            for member in self._members.entries.values()
+        )
+        # The counts of the last window, or of the one before at the end of a window.
+        serves = served.serves(self._vm, context.usage.get_window() - 2)
+        relay = choose_usage_relay(self._vm, peers, local, serves)
+        context.pending_updates.usage_relay = relay
+        usage = context.pending_updates.pop_due_usage(now)
+        if relay == self._vm and usage.closed_window != NO_WINDOW:
+            key = ServedWindow(self._vm, self._incarnation, usage.closed_window)
+            served.record_closed(key, usage.get_closed_counts(), now)
+            return usage._replace(closed_window=NO_WINDOW)
+        return usage
+
+    def _send_usage_confirmations(self, update: FleetUpdate) -> set[str]:
+        """Send an update to the VMs whose usage was stored, and return these VMs."""
+        confirmations = self._served_usage.pop_confirmations()
+        for _, window, digest in confirmations.pop(self._vm, ()):
+            self._context.usage.record_stored(window, digest)
+        for vm, rows in confirmations.items():
+            self._mesh.send(vm, update._replace(usage_stored=rows))
+        return set(confirmations)
+
     def _pop_own_deltas(self, now: float) -> Deltas:
         context = self._context
         results = context.work.pop_unsent_results(now)
@@ -76,7 +109,7 @@
         self,
         peers: RelayPeers,
         deltas: Deltas,
-        usage: tuple,
+        usage: DueUsage,
         sums: tuple,
         now: float,
     ) -> None:
@@ -89,14 +122,16 @@
             work,
             incarnation=self._incarnation,
             uptime=now - self._started_at,
-            usage=usage,
+            usage=usage.rows,
             sequence=sequence,
             configuration_version=self._context.configuration.get_version(),
             era=self._context.eras.era,
             sums=sums,
         )
-        # Only one relay forwards the deltas, so that nothing is counted twice.
-        self._mesh.send(peers.relays[0], update._replace(**deltas._asdict()))
+        # Only one relay forwards the deltas, so that nothing is counted twice, and
+        # writes the usage.
+        first = update._replace(closed_window=usage.closed_window, **deltas._asdict())
+        self._mesh.send(peers.relays[0], first)
         self._mesh.multicast(peers.relays[1:], update)
 
     def _send_relay_update(
@@ -154,7 +189,9 @@
             era,
             self._context.sums.sum_rows(sums, now),
         )
-        self._mesh.multicast(peers.served_vms, update)
+        confirmed = self._send_usage_confirmations(update)
+        others = [vm for vm in peers.served_vms if vm not in confirmed]
+        self._mesh.multicast(others, update)
 
     def _is_list_due(self, now: float) -> bool:
         return now - self._listed_at >= LIST_INTERVAL_SECONDS
--- a/wisteriagw/gateway/_usage_copies.py
+++ b/wisteriagw/gateway/_usage_copies.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from wisteriagw.gateway._peer_usage import PeerUsage
+from wisteriagw.gateway._served_usage import ServedUsage
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -17,9 +18,16 @@
 
 
 class UsageCopies:
-    """Usage counts received from peers, which outlive the process that counted."""
+    """Usage counts received from peers, which outlive the process that counted.
+
+    Attributes
+    ----------
+    served : ServedUsage
+        Counts that this VM writes as a relay.
+    """
 
     def __init__(self) -> None:
+        self.served = ServedUsage()
         self._copies: dict[str, PeerUsage] = {}
         self._processes: dict[str, str] = {}
 
@@ -63,9 +71,11 @@
         """Record that copies which were returned for writing may not be stored."""
         for copy in self._copies.values():
             copy.changed = True
+        self.served.forget_stored()
 
     def prune(self, window: int) -> None:
         """Drop windows that are more than ``KEPT_WINDOWS`` before a window."""
+        self.served.prune(window - KEPT_WINDOWS)
         for incarnation, copy in list(self._copies.items()):
             copy.prune(window - KEPT_WINDOWS)
             if not copy.windows and self._processes[copy.vm] != incarnation:
--- a/wisteriagw/gateway/_usage_counter.py
+++ b/wisteriagw/gateway/_usage_counter.py
@@ -4,11 +4,16 @@
 
 from typing import TYPE_CHECKING
 
+from wisteriagw.gateway._due_usage import NO_WINDOW
+from wisteriagw.gateway._usage_digest import compute_usage_digest
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 # Windows that are kept after they were written, for late requests of peers.
 KEPT_WINDOWS = 4
+# Delay after the end of a window, for requests that begin at its boundary.
+WRITE_DELAY_SECONDS = 0.3
 
 
 class UsageCounter:
@@ -18,6 +23,7 @@
         self._seconds = seconds
         self._wall_clock = wall_clock
         self._windows: dict[int, dict[str, int]] = {}
+        self._stored: dict[int, int] = {}
         self._first_unwritten = self.get_window()
 
     def get_window(self) -> int:
@@ -39,12 +45,32 @@
             for customer, count in counts.items()
         ]
 
+    def find_closed(self) -> int:
+        """Return the window before the current one if it has ended and is not stored.
+
+        -1 if there is none.
+        """
+        current = self.get_window()
+        if self._wall_clock() - current * self._seconds < WRITE_DELAY_SECONDS:
+            return NO_WINDOW
+        closed = current - 1
+        return closed if closed in self.list_unwritten(current) else NO_WINDOW
+
     def list_unwritten(self, before: int) -> dict[int, dict[str, int]]:
         """Return the windows before one that may not be stored yet, also empty ones."""
-        return {
-            window: self._windows.get(window, {})
-            for window in range(self._first_unwritten, before)
-        }
+        unwritten = {}
+        for window in range(self._first_unwritten, before):
+            if self._stored.get(window) != self.compute_digest(window):
+                unwritten[window] = self._windows.get(window, {})
+        return unwritten
+
+    def compute_digest(self, window: int) -> int:
+        """Return the digest of the counts of a window."""
+        return compute_usage_digest(self._windows.get(window, {}))
+
+    def record_stored(self, window: int, digest: int) -> None:
+        """Record the digest of this process's counts that a relay has stored."""
+        self._stored[window] = digest
 
     def record_written(self, before: int) -> None:
         """Record that all windows before one are stored."""
@@ -52,3 +78,5 @@
         for window in list(self._windows):
             if window < before - KEPT_WINDOWS:
                 del self._windows[window]
+        for window in [w for w in self._stored if w < before - KEPT_WINDOWS]:
+            del self._stored[window]
--- a/wisteriagw/messages/_fleet_update.py
+++ b/wisteriagw/messages/_fleet_update.py
@@ -39,6 +39,9 @@
         Era of the store to which the offsets belong.
     sums : tuple
         Rows of table, key and numbers, summed over all VMs.
+    usage_stored : tuple
+        Rows of process, usage window and digest of counts of the receiver that the
+        sender has stored.
     """
 
     uptime: float
@@ -55,3 +58,4 @@
     results: tuple = ()
     era: int = 0
     sums: tuple = ()
+    usage_stored: tuple = ()
--- a/wisteriagw/messages/_gateway_update.py
+++ b/wisteriagw/messages/_gateway_update.py
@@ -41,6 +41,9 @@
         Newest era of the store that the sender knows.
     sums : tuple
         Rows of table, key and numbers of the sender.
+    closed_window : int
+        Usage window that has ended, whose counts in ``usage`` are complete and which
+        the receiver shall store; -1 if none.
     """
 
     ready: bool
@@ -55,3 +58,4 @@
     configuration_version: int = 0
     era: int = 0
     sums: tuple = ()
+    closed_window: int = -1
