--- a/tests/support/_store_vm.py
+++ b/tests/support/_store_vm.py
@@ -16,7 +16,7 @@
 from wisteriagw.gateway._node import (
     DUTY_INTERVAL_SECONDS,
     LOST_USAGE_INTERVAL_SECONDS,
-    SERVED_USAGE_INTERVAL_SECONDS,
+    SERVED_USAGE_SECONDS,
 )
 from wisteriagw.gateway._quarantine_store import QuarantineStore
 from wisteriagw.gateway._served_usage_writer import ServedUsageWriter
@@ -109,7 +109,7 @@
         gateway.exchange.start()
         self.repeat(SWEEP_SECONDS, self._sweep)
         self.repeat(LOST_USAGE_INTERVAL_SECONDS, self._write_lost_usage)
-        self.repeat(SERVED_USAGE_INTERVAL_SECONDS, self._write_served_usage)
+        self.repeat(SERVED_USAGE_SECONDS, self._write_served_usage)
         self.repeat(DUTY_INTERVAL_SECONDS, self._report)
 
     def repeat(self, seconds: float, function: Any) -> None:
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -62,7 +62,7 @@
 DUTY_INTERVAL_SECONDS = 0.5
 # Counts of an ended process must be in the store before its window is sealed.
 LOST_USAGE_INTERVAL_SECONDS = 0.5
-SERVED_USAGE_INTERVAL_SECONDS = 0.1
+SERVED_USAGE_SECONDS = 0.1
 INCARNATION_BYTES = 8
 # Time to exit before the platform kills the process after the signal to stop.
 EXIT_MARGIN_SECONDS = 0.7
@@ -162,8 +162,8 @@
             self._quarantines.start()
         self._exchange.start()
         self._repeat(SWEEP_INTERVAL_SECONDS, self._sweep)
-        self._repeat(LOST_USAGE_INTERVAL_SECONDS, self._write_lost_usage)
-        self._repeat(SERVED_USAGE_INTERVAL_SECONDS, self._write_served_usage)
+        self._repeat(LOST_USAGE_INTERVAL_SECONDS, lambda: self._write(self._lost_usage))
+        self._repeat(SERVED_USAGE_SECONDS, lambda: self._write(self._served_usage))
         self._repeat(DUTY_INTERVAL_SECONDS, self._duties.run_cycle)
         logger.info("VM %s in %s started", settings.vm, settings.data_centre)
 
@@ -278,17 +278,11 @@
         self.context.pool.close_address(server.address)
         self._call_pool.close_address(server.address)
 
-    def _write_lost_usage(self) -> Deferred[None]:
-        cycle = self._lost_usage.run_cycle(self._reactor.seconds())
-        return Deferred.fromCoroutine(cycle)
+    def _write(self, writer: Any) -> Deferred[None]:
+        return Deferred.fromCoroutine(writer.run_cycle(self._reactor.seconds()))
 
     def _is_usage_delegated(self) -> bool:
-        relay = self.context.pending_updates.usage_relay
-        return relay is not None and not self.stopping
-
-    def _write_served_usage(self) -> Deferred[None]:
-        cycle = self._served_usage.run_cycle(self._reactor.seconds())
-        return Deferred.fromCoroutine(cycle)
+        return not self.stopping and bool(self.context.pending_updates.usage_relay)
 
     def _sweep(self) -> None:
         context = self.context
