--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -79,8 +79,7 @@
 
 
 # Encoded defaults of fields that were added to messages.
-ZERO = b"\x00"
-EMPTY_TUPLE = b"\x80"
+ENCODED_DEFAULTS = {0: b"\x00", -1: b"\x20", (): b"\x80"}
 
 
 class Renamed(NamedTuple):
@@ -97,8 +96,7 @@
     defaults = type(message)._field_defaults
     tail = b""
     for name in message._fields[len(message) - added :]:
-        assert defaults[name] in (0, ()), name
-        tail += EMPTY_TUPLE if defaults[name] == () else ZERO
+        tail += ENCODED_DEFAULTS[defaults[name]]
     return bytes((0x80 + count,)) + old[1:] + tail
 
 
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -42,6 +42,7 @@
 from wisteriagw.gateway._quarantine_store import QuarantineStore
 from wisteriagw.gateway._request_handler import RequestHandler
 from wisteriagw.gateway._retry_budgets import RetryBudgets
+from wisteriagw.gateway._served_usage_writer import ServedUsageWriter
 from wisteriagw.gateway._shutdown_sequence import (
     ShutdownSequence,
     find_address_seconds,
@@ -71,6 +72,7 @@
 DUTY_INTERVAL_SECONDS = 0.5
 # Counts of an ended process must be in the store before its window is sealed.
 LOST_USAGE_INTERVAL_SECONDS = 0.5
+SERVED_USAGE_SECONDS = 0.1
 INCARNATION_BYTES = 8
 LISTEN_BACKLOG = 512
 
@@ -115,6 +117,7 @@
             reactor, store, self.context.crashing_parts, wall_clock
         )
         self._lost_usage = LostUsageWriter(store, self._copies)
+        self._served_usage = ServedUsageWriter(store, self._copies.served)
         self._duties = AuthorityDuties(
             self.context,
             calls,
@@ -141,6 +144,8 @@
             incarnation,
             settings.usage_window,
             wall_clock,
+            settings.usage_due,
+            self._is_usage_delegated,
         )
         self._requests = RequestHandler(self.context)
         self._front = ServerFactory(
@@ -173,8 +178,9 @@
         self._exchange.start()
         self._repeat(SWEEP_INTERVAL_SECONDS, self._sweep)
         self._repeat(UPDATE_INTERVAL_SECONDS, self._update_quotas)
-        self._repeat(LOST_USAGE_INTERVAL_SECONDS, self._write_lost_usage)
         self._repeat(DUTY_INTERVAL_SECONDS, self._duties.observe_demand)
+        self._repeat(LOST_USAGE_INTERVAL_SECONDS, lambda: self._write(self._lost_usage))
+        self._repeat(SERVED_USAGE_SECONDS, lambda: self._write(self._served_usage))
         self._repeat(DUTY_INTERVAL_SECONDS, self._duties.run_cycle)
         logger.info("VM %s in %s started", settings.vm, settings.data_centre)
 
@@ -279,9 +285,11 @@
         registered = len(members.entries) if known else 0
         self._requests.quotas.update([age for *_, age in ages], registered)
 
-    def _write_lost_usage(self) -> Deferred[None]:
-        cycle = self._lost_usage.run_cycle(self._reactor.seconds())
-        return Deferred.fromCoroutine(cycle)
+    def _write(self, writer: Any) -> Deferred[None]:
+        return Deferred.fromCoroutine(writer.run_cycle(self._reactor.seconds()))
+
+    def _is_usage_delegated(self) -> bool:
+        return not self.stopping and bool(self.context.pending_updates.usage_relay)
 
     def _sweep(self) -> None:
         context = self.context
