Test that the bound on quotas is optional in the settings

Cause: no test decoded the three optional fields of the settings. Change: one test: absent, present, and of a wrong type. Measured: tests/test_platform.py passes.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -108,6 +108,14 @@
 class TestSettingsFile:
     """Guards against reporting only the first of several invalid settings."""
 
+    def test_bound_on_quotas_is_optional(self) -> None:
+        rows = "quota_window_s = 8\nquota_over = 0.1\nquota_slack = 190000\n"
+        text = SETTINGS.replace("[bounds]\n", f"[bounds]\n{rows}")
+        assert parse_settings(SETTINGS).quota_window == 0.0
+        assert parse_settings(text)[-3:] == (8.0, 0.1, 190_000.0)
+        broken = parse_settings(text.replace("= 0.1\n", "= 'x'\n", 1))
+        assert [finding.place for finding in broken] == ["bounds.quota_over"]
+
     def test_valid_file_is_parsed_into_seconds(self) -> None:
         settings = parse_settings(SETTINGS)
         assert isinstance(settings, NodeSettings)
