Write the usage window in which a stop ends

Cause: since the stop moved to ShutdownSequence, the last window to write was computed at the signal. A stop takes up to 7.3 s and a window 5 s, so requests of the window that began during the stop were written by nobody but, with luck, a relay that had a copy of them. Evidence: the new test in tests/test_planned_stop.py with the window of the start: the writer was asked for windows before 201 at a time of window 201 (failed). Change: the window is read after the open requests have ended, as before the move.

--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -7,7 +7,7 @@
 import pytest
 from twisted.internet.defer import Deferred
 
-from tests.support._gateway_fixture import GatewayFixture
+from tests.support._gateway_fixture import WINDOW_SECONDS, GatewayFixture
 from wisteriagw.gateway._shutdown_sequence import ShutdownSequence
 from wisteriagw.routes import Stop, can_end_before_exit
 
@@ -112,9 +112,11 @@
 class TestStopDuration:
     """Idle processes were still there at the end of the grace time, and were killed."""
 
-    def stop(self, busy: float, write: object) -> float:
+    def stop(
+        self, busy: float, write: object, gateway: StoppingGateway | None = None
+    ) -> float:
         """Return the seconds of a stop with requests open for some seconds."""
-        gateway = StoppingGateway()
+        gateway = gateway or StoppingGateway()
         clock = gateway.clock
         begun = clock.seconds()
         front = SimpleNamespace(
@@ -123,7 +125,7 @@
         sequence = ShutdownSequence(
             clock, SETTINGS, front, gateway.handler, SimpleNamespace(write=write)
         )
-        running = Deferred.fromCoroutine(sequence.run(1))
+        running = Deferred.fromCoroutine(sequence.run(gateway.usage.get_window))
         while not running.called:
             gateway.advance(0.1)
         assert front.closing
@@ -132,6 +134,17 @@
     async def write_never(self, window: int) -> None:
         await Deferred()
 
+    def test_usage_of_windows_that_begin_during_the_stop_is_written(self) -> None:
+        written: list[tuple[float, int]] = []
+
+        async def write(before: int) -> None:
+            written.append((gateway.clock.seconds(), before))
+
+        gateway = StoppingGateway()
+        self.stop(6.0, write, gateway)
+        ((at, before),) = written
+        assert before > at // WINDOW_SECONDS
+
     async def write_at_once(self, window: int) -> None:
         return None
 
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -189,7 +189,7 @@
         self._duties.stop()
         self._members.leave()
         self._exchange.send()
-        await self._shutdown.run(self.context.usage.get_window() + 1)
+        await self._shutdown.run(self.context.usage.get_window)
 
     def _build_context(
         self,
--- a/wisteriagw/gateway/_shutdown_sequence.py
+++ b/wisteriagw/gateway/_shutdown_sequence.py
@@ -11,6 +11,8 @@
 from wisteriagw.routes import Stop
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from wisteriagw.connections import ServerFactory
     from wisteriagw.gateway._request_handler import RequestHandler
     from wisteriagw.gateway._usage_writer import UsageWriter
@@ -52,8 +54,15 @@
         self._requests = requests
         self._usage_writer = usage_writer
 
-    async def run(self, end_window: int) -> None:
-        """Stop serving; usage windows before ``end_window`` are written."""
+    async def run(self, get_window: Callable[[], int]) -> None:
+        """Stop serving and write the usage up to the window of that time.
+
+        Parameters
+        ----------
+        get_window : callable
+            Returns the current usage window. The stop can take longer than a window,
+            so the window at its start is not the last one with requests.
+        """
         started = self._reactor.seconds()
         grace = self._settings.shutdown_seconds - EXIT_MARGIN_SECONDS
         self._front.closing = True
@@ -69,6 +78,7 @@
         # Requests that arrive while the usage is written are refused.
         self._requests.stop = Stop(started, self._reactor.seconds())
         self._requests.end_requests()
+        end_window = get_window() + 1
         writing = Deferred.fromCoroutine(self._usage_writer.write(end_window))
         writing.addTimeout(EXIT_MARGIN_SECONDS / 2, self._reactor)
         try:
