Leave odd rows of a peer out of the sums, and drop lapsed ones

Cause: the codec checks no types inside of sums, and the rows were stored as they came. A row of the wrong form raised an exception in the reader: UpdateExchange.start then never scheduled its next update, and the periodic quota task ended for good. NaN made the level of a quota NaN for good, which admits everything, and all speeds 0.2. The rows of each VM that ever sent an update were kept after they had lapsed. Evidence: with one row ('speeds',), ('speeds', ['x'], 1.0) or ('speeds', 'x', '1') sum_rows raised ValueError or TypeError, with NaN the sum of all VMs was NaN; the test of memory found 100 peers kept (all failed before). Change: apply_peer_rows keeps rows of two names and finite numbers up to 1e15 and subtracts the own part from these; lapsed rows are removed when they are read. Result: 12 new tests in tests/test_sums.py pass, with those of quotas, speeds, demand and relays.

--- a/tests/test_sums.py
+++ b/tests/test_sums.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 
 from tests.support._simulated_fleet import SimulatedFleet
@@ -19,6 +21,15 @@
         assert table.get_others("speeds", 10.9) == {"i-1": (2.0, 1.0)}
         assert table.get_others("speeds", 11.0) == {}
 
+    def test_rows_of_ended_vms_do_not_stay_in_memory(self) -> None:
+        table = SumTable()
+        for number in range(100):
+            now = float(number)
+            table.apply_peer_rows(f"vm-{number}", [("speeds", "x", 1.0)], now)
+            table.sum_rows((), now)
+        assert len(table._peers) <= 2
+        assert table.get_age(110.0) == 11.0
+
     def test_repeated_update_counts_once(self) -> None:
         table = SumTable()
         for now in (10.0, 10.1):
@@ -37,6 +48,33 @@
         table.apply_peer_rows("vm-3", [("speeds", "x", 1.0, 7.0)], 10.0)
         assert table.get_others("speeds", 10.0) == {"x": (3.0,)}
 
+    @pytest.mark.parametrize(
+        "row",
+        [
+            5,
+            "speeds",
+            ("speeds",),
+            ("speeds", ["x"], 1.0),
+            (b"speeds", "x", 1.0),
+            ("speeds", "x", "1.0"),
+            ("speeds", "x", None),
+            ("speeds", "x", math.nan),
+            ("speeds", "x", 1.0, -math.inf),
+            ("speeds", "x", 1e300),
+            ("speeds", "x", 10**400),
+        ],
+    )
+    def test_odd_rows_of_a_peer_are_left_out(self, row: object) -> None:
+        # An exception here ended the updates and the quota task of the reader; NaN
+        # stayed in the level of a quota.
+        table = SumTable()
+        own = (("speeds", "own", 1.0),)
+        for peer in ("vm-2", "vm-3"):
+            rows = [row, ("speeds", "x", 2.0)]
+            table.apply_peer_rows(peer, rows, 10.0, own)
+        assert table.get_others("speeds", 10.0) == {"x": (4.0,)}
+        assert table.sum_rows((), 10.0) == (("speeds", "x", 4.0),)
+
     def test_own_part_is_subtracted_only_where_it_is_contained(self) -> None:
         total = [("speeds", "x", 5.0)]
         own = [("speeds", "x", 2.0), ("speeds", "new", 1.0)]
--- a/wisteriagw/gateway/_update_receiver.py
+++ b/wisteriagw/gateway/_update_receiver.py
@@ -13,7 +13,6 @@
     RelayUpdate,
 )
 from wisteriagw.platform import StoreRecord
-from wisteriagw.sums import subtract_rows
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -114,9 +113,7 @@
         found = self._sent.find(update.received)
         own = found[0].work if found else self._context.work.list_own_work()
         own_sums = found[0].sums if found else self._context.sums.list_own(now)
-        self._context.sums.apply_peer_rows(
-            ALL_VMS_KEY, subtract_rows(update.sums, own_sums), now
-        )
+        self._context.sums.apply_peer_rows(ALL_VMS_KEY, update.sums, now, own_sums)
         self._context.work.apply_peer_work(
             ALL_VMS_KEY, subtract_work(update.work, own), now
         )
--- a/wisteriagw/sums/_sum_table.py
+++ b/wisteriagw/sums/_sum_table.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable
@@ -13,6 +13,9 @@
 # Default for the age up to which a peer's rows count; the rate of the peers' updates
 # sets the value in use.
 VALID_SECONDS = 1.0
+# Greater numbers are taken for errors, and sums of them may not be finite. Quotas, the
+# largest numbers of any table, are below 1e12 tokens.
+MAX_VALUE = 1e15
 
 
 class SumTable:
@@ -31,6 +34,7 @@
         self.valid_seconds = VALID_SECONDS
         self._sources: dict[str, RowSource] = {}
         self._peers: dict[str, tuple[float, tuple]] = {}
+        self._newest_at = float("-inf")
 
     def register(self, table: str, list_rows: RowSource) -> None:
         """Send the rows of a source with every update.
@@ -52,21 +56,28 @@
             for key, values in list_rows(now)
         )
 
-    def apply_peer_rows(self, peer: str, rows: Iterable[tuple], now: float) -> None:
-        """Replace the known rows of a peer, or of a group of peers."""
-        self._peers[peer] = (now, tuple(rows))
+    def apply_peer_rows(
+        self, peer: str, rows: Iterable[tuple], now: float, own: tuple = ()
+    ) -> None:
+        """Replace the known rows of a peer, or of a group of peers.
+
+        Parameters
+        ----------
+        own : tuple
+            Rows of this VM that the rows of the group contain.
+        """
+        sound = tuple(row for row in rows if is_sound(row))
+        self._peers[peer] = (now, subtract_rows(sound, own) if own else sound)
+        self._newest_at = now
 
     def sum_rows(
         self, own: tuple, now: float, peers: Collection[str] | None = None
     ) -> tuple:
         """Return own rows plus those of all peers, or of the given ones."""
         groups = [own]
-        for peer, (received_at, rows) in self._peers.items():
-            if now - received_at >= self.valid_seconds:
-                continue
-            if peers is not None and peer not in peers:
-                continue
-            groups.append(rows)
+        for peer, rows in self._list_valid(now):
+            if peers is None or peer in peers:
+                groups.append(rows)
         return add_rows(groups)
 
     def get_others(self, table: str, now: float) -> dict[str, Values]:
@@ -79,8 +90,28 @@
 
     def get_age(self, now: float) -> float:
         """Return the seconds since the newest rows of a peer, infinite if none came."""
-        newest = max((at for at, _ in self._peers.values()), default=float("-inf"))
-        return now - newest
+        return now - self._newest_at
+
+    def _list_valid(self, now: float) -> list[tuple[str, tuple]]:
+        """Return the rows by peer and remove those that have lapsed."""
+        for peer, (received_at, _) in list(self._peers.items()):
+            if now - received_at >= self.valid_seconds:
+                del self._peers[peer]
+        return [(peer, rows) for peer, (_, rows) in self._peers.items()]
+
+
+def is_sound(row: Any) -> bool:
+    """Return whether a peer's row consists of two names and finite numbers."""
+    try:
+        table, key, *values = row
+        if type(table) is not str or type(key) is not str:
+            return False
+        for value in values:
+            if not -MAX_VALUE <= value <= MAX_VALUE:
+                return False
+    except (TypeError, ValueError):
+        return False
+    return True
 
 
 def add_rows(groups: Iterable[Iterable[tuple]], sign: float = 1.0) -> tuple:
