Read only the rows of one table, and add rows without temporary lists

Cause: get_others summed the rows of all tables and kept those of one. It is called 19 times a second by quotas, speeds, demand and hedging, and a relay holds the rows of each VM of its data centre. Evidence: processor time on a relay with 29 VMs and 2 data centres of 96 rows each: get_others 1.07 to 1.17 ms for each of the four tables, sum_rows 1.18 ms. Change: rows of other tables are skipped before they are summed, and add_rows builds a list only for a key that it has not met.

--- a/wisteriagw/sums/_sum_table.py
+++ b/wisteriagw/sums/_sum_table.py
@@ -66,7 +66,7 @@
         own : tuple
             Rows of this VM that the rows of the group contain.
         """
-        sound = tuple(row for row in rows if is_sound(row))
+        sound = tuple(tuple(row) for row in rows if is_sound(row))
         self._peers[peer] = (now, subtract_rows(sound, own) if own else sound)
         self._newest_at = now
 
@@ -82,11 +82,11 @@
 
     def get_others(self, table: str, now: float) -> dict[str, Values]:
         """Return the sums over the other VMs by key."""
-        return {
-            key: tuple(values)
-            for name, key, *values in self.sum_rows((), now)
-            if name == table
-        }
+        groups = [
+            [row for row in rows if row[0] == table]
+            for _, rows in self._list_valid(now)
+        ]
+        return {key: tuple(values) for _, key, *values in add_rows(groups)}
 
     def get_age(self, now: float) -> float:
         """Return the seconds since the newest rows of a peer, infinite if none came."""
@@ -119,9 +119,12 @@
     sums: dict[tuple[str, str], list[float]] = {}
     for index, rows in enumerate(groups):
         factor = sign if index else 1.0
-        for table, key, *values in rows:
-            known = sums.setdefault((table, key), [0.0] * len(values))
-            for position, value in enumerate(values[: len(known)]):
+        for row in rows:
+            known = sums.get(row[:2])
+            if known is None:
+                sums[row[:2]] = [factor * value for value in row[2:]]
+                continue
+            for position, value in enumerate(row[2 : len(known) + 2]):
                 known[position] += factor * value
     return tuple((*key, *values) for key, values in sums.items())
 
