Count no VM twice in the sums when a relay changes

Cause: a VM that becomes a relay has the sum over all VMs from its relay and the rows of single VMs at the same time, until the first lapses after five intervals. It added both and sent the result on to the VMs of its data centre. A customer's requests count twice in that time, and the debt of its quota refuses requests within the limit. Change: while a sum over all VMs is valid, single rows are not added to it.

--- a/tests/test_sums.py
+++ b/tests/test_sums.py
@@ -127,3 +127,15 @@
                 continue
             expected = sum(values.values()) - values[vm] - values[lost]
             assert self.find_others(gateway) == pytest.approx(expected), vm
+
+    def test_change_of_role_counts_no_vm_twice(self) -> None:
+        # A VM that becomes a relay receives rows of VMs that are still in the totals
+        # that it had; a customer's requests would count twice for five intervals.
+        fleet, values = self.start()
+        total = sum(values.values())
+        fleet.down.update(fleet.list_relays("north")[:1])
+        for _ in range(40):
+            fleet.advance(0.05)
+            for vm, gateway in fleet.gateways.items():
+                if vm not in fleet.down:
+                    assert self.find_others(gateway) <= total - values[vm] + 1e-6, vm
--- a/wisteriagw/gateway/_update_receiver.py
+++ b/wisteriagw/gateway/_update_receiver.py
@@ -13,6 +13,7 @@
     RelayUpdate,
 )
 from wisteriagw.platform import StoreRecord
+from wisteriagw.sums import ALL_VMS_KEY
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -26,9 +27,6 @@
     from wisteriagw.gateway._usage_copies import UsageCopies
     from wisteriagw.mesh import Mesh
 
-# Key of the work of all other VMs, as aggregated by a relay.
-ALL_VMS_KEY = "all VMs"
-
 
 class UpdateReceiver:
     """Applies updates from the mesh, and forwards rows if this VM is a relay."""
--- a/wisteriagw/sums/__init__.py
+++ b/wisteriagw/sums/__init__.py
@@ -2,6 +2,6 @@
 
 from __future__ import annotations
 
-from wisteriagw.sums._sum_table import SumTable, subtract_rows
+from wisteriagw.sums._sum_table import ALL_VMS_KEY, SumTable, subtract_rows
 
-__all__ = ["SumTable", "subtract_rows"]
+__all__ = ["ALL_VMS_KEY", "SumTable", "subtract_rows"]
--- a/wisteriagw/sums/_sum_table.py
+++ b/wisteriagw/sums/_sum_table.py
@@ -16,6 +16,8 @@
 # Greater numbers are taken for errors, and sums of them may not be finite. Quotas, the
 # largest numbers of any table, are below 1e12 tokens.
 MAX_VALUE = 1e15
+# Key of the sum over all other VMs, which a VM that is no relay receives from one.
+ALL_VMS_KEY = "all VMs"
 
 
 class SumTable:
@@ -74,17 +76,16 @@
         self, own: tuple, now: float, peers: Collection[str] | None = None
     ) -> tuple:
         """Return own rows plus those of all peers, or of the given ones."""
-        groups = [own]
-        for peer, rows in self._list_valid(now):
-            if peers is None or peer in peers:
-                groups.append(rows)
-        return add_rows(groups)
+        valid = self._list_valid(now)
+        if peers is None:
+            return add_rows([own, *select_disjoint(valid)])
+        return add_rows([own, *(rows for peer, rows in valid if peer in peers)])
 
     def get_others(self, table: str, now: float) -> dict[str, Values]:
         """Return the sums over the other VMs by key."""
         groups = [
             [row for row in rows if row[0] == table]
-            for _, rows in self._list_valid(now)
+            for rows in select_disjoint(self._list_valid(now))
         ]
         return {key: tuple(values) for _, key, *values in add_rows(groups)}
 
@@ -100,6 +101,17 @@
         return [(peer, rows) for peer, (_, rows) in self._peers.items()]
 
 
+def select_disjoint(valid: list[tuple[str, tuple]]) -> list[tuple]:
+    """Return the rows of groups that have no VM in common.
+
+    After a change between relay and other VM both the sum over all VMs and the rows of
+    single ones are valid for some intervals. The sum is complete, and single rows may
+    not have arrived yet.
+    """
+    totals = [rows for peer, rows in valid if peer == ALL_VMS_KEY]
+    return totals or [rows for _, rows in valid]
+
+
 def is_sound(row: Any) -> bool:
     """Return whether a peer's row consists of two names and finite numbers."""
     try:
