Subtract only own rows that a relay's sum contains

Cause: a VM subtracted its own rows also if the relay had left them out because they had lapsed there, and its current rows if the relay still had those of an earlier process of the same name. The others' sum was too low or negative, which fills the bucket of a quota faster than its rate. Evidence: with the VM's links to its relays cut, 32 instead of 34 for the others; with an unknown update number, -64 instead of at least 34 (two tests failed before). Change: own rows are subtracted only if the relay's copy is known and still valid.

--- a/tests/test_sums.py
+++ b/tests/test_sums.py
@@ -139,3 +139,33 @@
             for vm, gateway in fleet.gateways.items():
                 if vm not in fleet.down:
                     assert self.find_others(gateway) <= total - values[vm] + 1e-6, vm
+
+    def test_own_rows_that_a_relay_has_dropped_are_not_subtracted(self) -> None:
+        fleet, values = self.start()
+        vm = next(
+            name
+            for name, gateway in fleet.gateways.items()
+            if not gateway.exchange.peers.is_relay
+        )
+        others = sum(values.values()) - values[vm]
+        for relay in fleet.list_relays("north"):
+            fleet.extra_delay[(vm, relay)] = 1e6
+        for _ in range(30):
+            fleet.advance(0.05)
+            assert self.find_others(fleet.gateways[vm]) == pytest.approx(others)
+
+    def test_rows_of_an_earlier_process_are_not_subtracted_from(self) -> None:
+        fleet, values = self.start()
+        vm = next(
+            name
+            for name, gateway in fleet.gateways.items()
+            if not gateway.exchange.peers.is_relay
+        )
+        gateway = fleet.gateways[vm]
+        gateway.exchange._receiver._sent._updates.clear()
+        others = sum(values.values()) - values[vm]
+        (relay,) = fleet.list_relays("north")[:1]
+        sent = [m for to, m in fleet.gateways[relay].mesh.sent if to == vm][-1]
+        values[vm] = 100.0
+        gateway.mesh.handlers[type(sent)](relay, sent)
+        assert self.find_others(gateway) >= others
--- a/wisteriagw/gateway/_update_receiver.py
+++ b/wisteriagw/gateway/_update_receiver.py
@@ -110,8 +110,12 @@
         self._members.record_start(sender, now - update.uptime)
         found = self._sent.find(update.received)
         own = found[0].work if found else self._context.work.list_own_work()
-        own_sums = found[0].sums if found else self._context.sums.list_own(now)
-        self._context.sums.apply_peer_rows(ALL_VMS_KEY, update.sums, now, own_sums)
+        # The relay has left own rows out that had lapsed, and those of another process
+        # under this name count as another VM's.
+        sums = self._context.sums
+        contained = found is not None and found[1] < sums.valid_seconds
+        own_sums = found[0].sums if contained else ()
+        sums.apply_peer_rows(ALL_VMS_KEY, update.sums, now, own_sums)
         self._context.work.apply_peer_work(
             ALL_VMS_KEY, subtract_work(update.work, own), now
         )
