Notify a request when its caller is cut for not reading

Cause: a connection was cut by ServerConnection.abort, which forgets the responder first, because it is also what the request itself calls. So neither the budget of unread bytes nor the idle timeout ended the request: its stream went on at the engine, with its slot, until its own end or deadline. Evidence: test_request_of_a_cut_caller_is_cancelled: on_disconnect was not called after the idle timeout, nor after a drop by the budget (failed for each before). Change: both cut by ServerConnection.disconnect, which keeps the responder, and the loss of the connection then notifies it as for a caller that leaves.

--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -4,7 +4,9 @@
 
 import tracemalloc
 
+from twisted.internet.error import ConnectionAborted
 from twisted.internet.task import Clock
+from twisted.python.failure import Failure
 
 from tests.test_connections import ClosableTransport
 from wisteriagw.connections import BufferBudget, ServerFactory
@@ -116,3 +118,23 @@
             self.factory.close_idle()
         assert connection.transport.aborted
         assert not other.transport.aborted
+
+    def test_request_of_a_cut_caller_is_cancelled(self) -> None:
+        # Its server went on with a stream that nobody reads any more.
+        for cut in ("idle", "budget"):
+            (connection,) = self.connect()
+            connection.dataReceived(CALL)
+            (responder,) = self.responders
+            left: list[bool] = []
+            responder.on_disconnect = lambda left=left: left.append(True)
+            responder.start(200, ())
+            while responder._connection.transport.unread < TRANSPORT_BYTES:
+                responder.write(b"x" * 1_000)
+            responder.write(b"x" * (2 * BUDGET_BYTES if cut == "budget" else 1))
+            for _ in range(31):
+                self.clock.advance(1.0)
+                self.factory.close_idle()
+            assert connection.transport.aborted
+            connection.connectionLost(Failure(ConnectionAborted()))
+            assert left == [True], cut
+            assert self.factory.response_budget.used == 0
--- a/wisteriagw/connections/_server_connection.py
+++ b/wisteriagw/connections/_server_connection.py
@@ -74,7 +74,7 @@
         self._server.connections.add(self)
         self.transport.setTcpNoDelay(True)
         budget = self._server.response_budget
-        self._buffer = ResponseBuffer(self.transport, budget, self.abort)
+        self._buffer = ResponseBuffer(self.transport, budget, self.disconnect)
 
     def dataReceived(self, data: bytes) -> None:
         """Handle data from the caller."""
@@ -118,8 +118,12 @@
         self.transport.loseConnection()
 
     def abort(self) -> None:
-        """Close without sending pending writes."""
+        """Close without sending pending writes, because the response was aborted."""
         self.responder = None
+        self.disconnect()
+
+    def disconnect(self) -> None:
+        """Close because the caller does not read; a request in progress is notified."""
         self._buffer.clear()
         self.transport.abortConnection()
 
--- a/wisteriagw/connections/_server_factory.py
+++ b/wisteriagw/connections/_server_factory.py
@@ -78,7 +78,7 @@
         for connection in list(self.connections):
             if connection.blocked:
                 if now - connection.blocked_since > 2 * self.limits.idle_timeout:
-                    connection.abort()
+                    connection.disconnect()
                 continue
             if connection.responder is not None:
                 continue
