--- a/wisteriagw/gateway/_update_receiver.py
+++ b/wisteriagw/gateway/_update_receiver.py
@@ -15,6 +15,7 @@
     RelayUpdate,
 )
 from wisteriagw.platform import StoreRecord
+from wisteriagw.sums import ALL_VMS_KEY
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -28,9 +29,6 @@
     from wisteriagw.gateway._usage_copies import UsageCopies
     from wisteriagw.mesh import Mesh
 
-# Key of the work of all other VMs, as aggregated by a relay.
-ALL_VMS_KEY = "all VMs"
-
 
 class UpdateReceiver:
     """Applies updates from the mesh, and forwards rows if this VM is a relay."""
@@ -120,8 +118,12 @@
         self._members.record_start(sender, now - update.uptime)
         found = self._sent.find(update.received)
         own = found[0].work if found else self._context.work.list_own_work()
-        own_sums = found[0].sums if found else self._context.sums.list_own(now)
-        self._context.sums.apply_peer_rows(ALL_VMS_KEY, update.sums, now, own_sums)
+        # The relay has left own rows out that had lapsed, and those of another process
+        # under this name count as another VM's.
+        sums = self._context.sums
+        contained = found is not None and found[1] < sums.valid_seconds
+        own_sums = found[0].sums if contained else ()
+        sums.apply_peer_rows(ALL_VMS_KEY, update.sums, now, own_sums)
         self._context.work.apply_peer_work(
             ALL_VMS_KEY, subtract_work(update.work, own), now
         )
