Let urgent streams pass queues that they overtake at the engines

Cause: the queue estimate counted all waiting work of a server, so urgent streams were refused because of less urgent ones that engines admit after them. Change: a stream of the most urgent rank whose plan is refused is placed a second time with the urgent part of the work, and what runs, as its queue. The urgent part has work rows of its own with three fields, because builds without it unpack exactly three. The Retry-After of a refusal follows the queue where that takes longer than the first half of the time that callers honour; the simulation of load admission now uses it.

--- a/tests/support/_gateway_fixture.py
+++ b/tests/support/_gateway_fixture.py
@@ -28,6 +28,7 @@
 from wisteriagw.gateway._pending_updates import PendingUpdates
 from wisteriagw.gateway._request_handler import RequestHandler
 from wisteriagw.gateway._retry_budgets import RetryBudgets
+from wisteriagw.gateway._urgent_ranks import UrgentRanks
 from wisteriagw.gateway._usage_counter import UsageCounter
 from wisteriagw.gateway.notices import NoticeBoard
 from wisteriagw.placement import WorkTable
@@ -255,6 +256,7 @@
             self.sums,
             DemandMeter(self.clock.seconds, rates),
             self.speeds,
+            UrgentRanks(),
         )
         self.handler = RequestHandler(self.context)
 
--- a/tests/test_load_admission.py
+++ b/tests/test_load_admission.py
@@ -15,6 +15,8 @@
     ServerView,
     choose_plan,
     find_patience,
+    find_queue_limit,
+    find_queue_return,
     is_queue_too_long,
     is_returning,
     spread_return,
@@ -189,7 +191,8 @@
         terms = QueueTerms(TARGET_SECONDS, PATIENCE_SECONDS, not fresh)
         if refuse and is_queue_too_long(plan.queue_seconds, terms):
             if fresh:
-                later = now + spread_return(left, source.random())
+                excess = plan.queue_seconds - find_queue_limit(terms)
+                later = now + find_queue_return(excess, left, source.random())
                 heapq.heappush(arrivals, (later, number, first_at))
             continue
         index = int(plan.server[1:])
--- a/wisteriagw/gateway/_context.py
+++ b/wisteriagw/gateway/_context.py
@@ -20,6 +20,7 @@
     from wisteriagw.gateway._metrics import GatewayMetrics
     from wisteriagw.gateway._pending_updates import PendingUpdates
     from wisteriagw.gateway._retry_budgets import RetryBudgets
+    from wisteriagw.gateway._urgent_ranks import UrgentRanks
     from wisteriagw.gateway._usage_counter import UsageCounter
     from wisteriagw.gateway.notices import NoticeBoard
     from wisteriagw.placement import WorkTable
@@ -52,5 +53,6 @@
     sums: SumTable
     demand: DemandMeter
     speeds: SpeedTable
+    urgent_ranks: UrgentRanks
     # None if the limit is 0.
     hedges: Hedges | None = None
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -47,6 +47,7 @@
     find_address_seconds,
 )
 from wisteriagw.gateway._update_exchange import UpdateExchange
+from wisteriagw.gateway._urgent_ranks import UrgentRanks
 from wisteriagw.gateway._usage_copies import UsageCopies
 from wisteriagw.gateway._usage_counter import UsageCounter
 from wisteriagw.gateway._usage_writer import UsageWriter
@@ -236,6 +237,7 @@
             sums,
             DemandMeter(reactor.seconds, rates),
             SpeedTable(sums),
+            UrgentRanks(),
             build_hedges(self._hedge_limit, settings.retry_window, sums),
         )
 
--- a/wisteriagw/gateway/_prompt_prefill.py
+++ b/wisteriagw/gateway/_prompt_prefill.py
@@ -42,7 +42,7 @@
         waiting = access.view_server(server).waiting_tokens
         self._timing.start(server, waiting + plan.uncached_tokens)
         self._reservation = WorkReservation(
-            context.work, server.name, plan.uncached_tokens
+            context.work, server.name, plan.uncached_tokens, access.urgent
         )
         access.record_parts(server.name)
         access.notices.count(server.name)
--- a/wisteriagw/gateway/_request_exchange.py
+++ b/wisteriagw/gateway/_request_exchange.py
@@ -235,7 +235,7 @@
 
     def _find_retry_after(self, outcome: Outcome | None = None) -> float:
         left = max(0.0, self._deadline - self._context.reactor.seconds())
-        return find_retry_after(outcome, left, self._context.draw)
+        return find_retry_after(outcome, left)
 
     def _refuse(
         self, status: int, code: str, reason: str, retry_after: float | None = None
--- a/wisteriagw/gateway/_request_forwarder.py
+++ b/wisteriagw/gateway/_request_forwarder.py
@@ -11,6 +11,7 @@
 from wisteriagw.gateway._engine_unreachable import EngineUnreachableError
 from wisteriagw.gateway._loss_detector import LossDetector
 from wisteriagw.gateway._prompt_prefill import PromptPrefill
+from wisteriagw.gateway._queue_check import QueueCheck
 from wisteriagw.gateway._run_stopper import RunStopper
 from wisteriagw.gateway._work_reservation import WorkReservation
 from wisteriagw.outcomes import Answering, FailedNotRun, MayHaveRun, RefusedNotRun
@@ -41,7 +42,6 @@
 OK_STATUS = 200
 MIN_SERVER_ERROR_STATUS = 500
 MISDIRECTED_STATUS = 421
-QUEUE_TOO_LONG = RefusedNotRun("overloaded", "the queues of the engines are too long")
 NO_SERVER = FailedNotRun("no backend server can take the request")
 
 
@@ -89,8 +89,10 @@
         plan = access.place(excluded)
         if plan is None:
             return access.explain_no_server(excluded) or NO_SERVER
-        if not excluded and access.is_queue_too_long(plan):
-            return QUEUE_TOO_LONG
+        if not excluded:
+            plan = QueueCheck(access).check(plan)
+            if isinstance(plan, RefusedNotRun):
+                return plan
         # Counted before the prefill, during which other requests are placed.
         access.notices.count(plan.server)
         source = await self._prefill.run(plan) if plan.prefill else None
@@ -249,7 +251,9 @@
             waiting = access.view_server(server).waiting_tokens
             expected_tokens = (waiting + tokens) * FULL_PREFILL_FACTOR
         self._timing.start(server, expected_tokens)
-        self._reservation = WorkReservation(context.work, server.name, tokens)
+        self._reservation = WorkReservation(
+            context.work, server.name, tokens, access.urgent
+        )
         access.record_parts(server.name)
         self._came_at = self._sent_at = context.reactor.seconds()
         self._running_since = None
--- a/wisteriagw/gateway/_request_times.py
+++ b/wisteriagw/gateway/_request_times.py
@@ -4,13 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from wisteriagw.gateway._request_forwarder import QUEUE_TOO_LONG
 from wisteriagw.outcomes import RefusedNotRun
-from wisteriagw.placement import spread_return
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from wisteriagw.outcomes import Outcome
     from wisteriagw.platform import CallerRequest
     from wisteriagw.routes import Route
@@ -27,9 +23,7 @@
     return min(route.timeout, caller.timeout)
 
 
-def find_retry_after(
-    outcome: Outcome | None, seconds_left: float, draw: Callable[[], float]
-) -> float:
+def find_retry_after(outcome: Outcome | None, seconds_left: float) -> float:
     """Return the seconds after which a refused caller shall come back.
 
     Parameters
@@ -38,11 +32,7 @@
         Outcome of the last attempt; None if the request was cancelled.
     seconds_left : float
         Time until the caller's deadline.
-    draw : callable
-        Returns a random number between 0 and 1.
     """
     if isinstance(outcome, RefusedNotRun) and outcome.retry_after is not None:
         return outcome.retry_after
-    if outcome is QUEUE_TOO_LONG:
-        return spread_return(seconds_left, draw())
     return min(MAX_RETRY_AFTER_SECONDS, seconds_left * RETRY_AFTER_FRACTION)
--- a/wisteriagw/gateway/_server_access.py
+++ b/wisteriagw/gateway/_server_access.py
@@ -13,13 +13,12 @@
 from wisteriagw.gateway.notices import RequestNotices
 from wisteriagw.outcomes import RefusedNotRun
 from wisteriagw.placement import (
-    QueueTerms,
     choose_backup,
     choose_plan,
     choose_server,
-    find_patience,
-    is_queue_too_long,
-    is_returning,
+    find_reserved,
+    omit_less_urgent,
+    view_as_urgent,
 )
 from wisteriagw.platform import (
     ForwardingTerms,
@@ -28,6 +27,7 @@
     is_genuine,
     reports_not_run,
 )
+from wisteriagw.routes import find_rank
 
 if TYPE_CHECKING:
     from wisteriagw.connections import HttpRequest, Response, ResponseHead
@@ -61,6 +61,10 @@
         Time at which the caller stops waiting.
     notices : RequestNotices
         Notices of the servers that the request is sent to.
+    urgent : bool
+        Whether engines admit the request before the less urgent ones of its service.
+    overtakes : bool
+        Whether it was admitted before a queue because of that.
     """
 
     def __init__(
@@ -81,25 +85,17 @@
         self._request_id = caller.request_id.encode("ascii")
         self.notices = RequestNotices(context, self._request_id)
         self._received_at = context.reactor.seconds()
+        self.urgent = context.urgent_ranks.is_urgent(
+            context.configuration.table, self.service, self.route, self.customer
+        )
+        self.overtakes = False
 
     def place(self, excluded: tuple[str, ...]) -> Plan | None:
         """Return where the request goes, or None if no server can take it."""
         context, prompt = self.context, self.caller.prompt
         now = context.reactor.seconds()
         views = self._list_views(now)
-        data_centre = context.settings.data_centre
-        if self.service.engine is None or prompt is None:
-            plan = choose_server(views, data_centre, context.draw, excluded)
-        else:
-            plan = choose_plan(
-                prompt,
-                views,
-                context.rates.get(self.service.name),
-                self.service.engine,
-                data_centre,
-                context.draw,
-                excluded,
-            )
+        plan = self._choose(views, excluded)
         if not excluded:
             context.demand.record_placement(self.service, prompt, plan)
         known = context.fleet.fleet.servers
@@ -120,33 +116,32 @@
         )
         return plan
 
-    def is_queue_too_long(self, plan: Plan) -> bool:
-        """Return whether the request is refused because of the queues of its plan."""
-        route, caller = self.route, self.caller
-        if (
-            not route.streaming
-            or caller.prompt is None
-            or caller.last_event is not None
-        ):
-            return False
-        terms = QueueTerms(
-            route.target_seconds,
-            find_patience(route.target_seconds, route.gap_seconds),
-            is_returning(route.timeout, caller.timeout),
-        )
-        if not is_queue_too_long(plan.queue_seconds, terms):
-            return False
-        self.context.demand.record_refusal(self.service.name)
-        self.context.log.write(
-            "queue_refusal",
-            request_id=caller.request_id,
-            service=self.service.name,
-            queue=round(plan.queue_seconds, 3),
-            target=terms.target_seconds,
-            patience=terms.patience_seconds,
-            returning=terms.returning,
+    def place_urgent(self) -> Plan | None:
+        """Return where an urgent request goes if it overtakes the less urgent ones."""
+        context = self.context
+        now = context.reactor.seconds()
+        views = self._list_views(now)
+        work = context.work.list_urgent_work((view.name for view in views), now)
+        rates = context.rates.get(self.service.name)
+        reserved = find_reserved(views, work)
+        return self._choose(view_as_urgent(views, work, rates), reserved)
+
+    def _choose(
+        self, views: list[ServerView], excluded: tuple[str, ...]
+    ) -> Plan | None:
+        context, prompt = self.context, self.caller.prompt
+        data_centre = context.settings.data_centre
+        if self.service.engine is None or prompt is None:
+            return choose_server(views, data_centre, context.draw, excluded)
+        return choose_plan(
+            prompt,
+            views,
+            context.rates.get(self.service.name),
+            self.service.engine,
+            data_centre,
+            context.draw,
+            excluded,
         )
-        return True
 
     def find_quarantine(self) -> RefusedNotRun | None:
         """Return the refusal of a request whose parts crash servers, or None."""
@@ -194,9 +189,7 @@
         """Return the terms of an attempt at a server."""
         priority = None
         if self.service.engine is not None:
-            priority = self.route.priority
-            if self.customer is not None and self.customer.priority is not None:
-                priority = self.customer.priority
+            priority = find_rank(self.route, self.customer)
         remaining = self.deadline - self.context.reactor.seconds()
         return ForwardingTerms(
             server,
@@ -269,9 +262,16 @@
         return [view._replace(speed=speeds.get(view.name, 1.0)) for view in views]
 
     def view_server(self, server: BackendServer) -> ServerView:
-        """Return the work of all VMs at a server, without its speed."""
-        now = self.context.reactor.seconds()
-        return self.context.work.list_views((server,), None, now)[0]
+        """Return the work at a server that comes first, without the server's speed."""
+        context = self.context
+        now = context.reactor.seconds()
+        view = context.work.list_views((server,), None, now)[0]
+        if not self.overtakes:
+            return view
+        # Work that is overtaken would make the measured rates too high.
+        found = context.work.list_urgent_work((server.name,), now)
+        rates = context.rates.get(self.service.name)
+        return omit_less_urgent(view, found.get(server.name, (0.0, 0.0)), rates)
 
     def record_parts(self, server: str) -> None:
         """Record that an engine caches the parts of the prompt from now on."""
--- a/wisteriagw/messages/_gateway_update.py
+++ b/wisteriagw/messages/_gateway_update.py
@@ -16,7 +16,8 @@
     ready : bool
         Whether callers shall use the sender.
     work : tuple
-        Rows of backend server, waiting prompt tokens and streams of the sender.
+        Rows of backend server, waiting prompt tokens and streams of the sender. The
+        urgent part of a server's work has a row of its own (``placement.WorkTable``).
     parts : tuple
         Rows of backend server, prompt part and tokens that the sender sent there since
         the last message.
--- a/wisteriagw/placement/__init__.py
+++ b/wisteriagw/placement/__init__.py
@@ -18,6 +18,8 @@
 from wisteriagw.placement._load_admission import (
     QueueTerms,
     find_patience,
+    find_queue_limit,
+    find_queue_return,
     is_queue_too_long,
     is_returning,
     spread_return,
@@ -25,6 +27,11 @@
 from wisteriagw.placement._plan import Plan
 from wisteriagw.placement._prompt import Prompt
 from wisteriagw.placement._server_view import ServerView
+from wisteriagw.placement._urgent_views import (
+    find_reserved,
+    omit_less_urgent,
+    view_as_urgent,
+)
 from wisteriagw.placement._work_table import WorkTable
 
 __all__ = [
@@ -42,9 +49,14 @@
     "expect_first_event",
     "expect_prefill",
     "find_patience",
+    "find_queue_limit",
+    "find_queue_return",
+    "find_reserved",
     "is_queue_too_long",
     "is_returning",
+    "omit_less_urgent",
     "spread_return",
     "update_rates",
     "update_stream_seconds",
+    "view_as_urgent",
 ]
--- a/wisteriagw/placement/_load_admission.py
+++ b/wisteriagw/placement/_load_admission.py
@@ -12,6 +12,9 @@
 MIN_PATIENCE_SECONDS = 2.0
 PATIENCE_TARGET_FACTOR = 4.0
 PATIENCE_GAP_FACTOR = 8.0
+# Part of the longest Retry-After that callers honour at which returns begin at the
+# latest.
+LATEST_RETURN_START = 0.75
 
 
 class QueueTerms(NamedTuple):
@@ -64,16 +67,46 @@
     terms : QueueTerms
         Terms of the stream.
     """
-    limit = terms.patience_seconds if terms.returning else terms.target_seconds
-    return queue_seconds > limit
+    return queue_seconds > find_queue_limit(terms)
 
 
-def spread_return(seconds_left: float, random_fraction: float) -> float:
+def find_queue_limit(terms: QueueTerms) -> float:
+    """Return the seconds for which a stream may have to wait in a queue."""
+    return terms.patience_seconds if terms.returning else terms.target_seconds
+
+
+def find_queue_return(
+    excess_seconds: float, seconds_left: float, random_fraction: float
+) -> float:
     """Return the Retry-After of a stream that a queue refused.
 
+    Load: a queue is too long for some seconds, and all that it refuses come back. By
+    the measured rates it is short enough once what is beyond the limit has been worked
+    off; an earlier return would be refused again. Callers honour up to a third of their
+    remaining time. Returns are spread up to its end, from its middle or, if the queue
+    takes longer, from then on, but over its last quarter at least: the callers that
+    were refused must not return together. Returns before the middle fall into the same
+    overload and take the place of fresh streams that could still be in time.
+
+    Parameters
+    ----------
+    excess_seconds : float
+        Estimated seconds until the queue is short enough.
+    seconds_left : float
+        Time until the caller's deadline.
+    random_fraction : float
+        Random number in [0, 1).
+    """
+    longest = max(0.0, seconds_left) / 3
+    earliest = min(max(excess_seconds, longest / 2), longest * LATEST_RETURN_START)
+    return earliest + (longest - earliest) * random_fraction
+
+
+def spread_return(seconds_left: float, random_fraction: float) -> float:
+    """Return the Retry-After of a request that paused servers refused.
+
     Callers honour up to a third of their remaining time. The second half of that is
-    used: a queue takes seconds to shrink, and the callers that it refused must not
-    return together.
+    used, and callers must not return together.
 
     Parameters
     ----------
--- a/wisteriagw/placement/_work_table.py
+++ b/wisteriagw/placement/_work_table.py
@@ -25,6 +25,10 @@
 # Servers with fewer decayed failures are left out of the results sent to peers.
 MIN_SENT_FAILURES = 0.05
 NO_RESULTS = ServerHealth()
+# The urgent part of a server's work has a row of its own under the server's name with
+# this ending. Builds without it exchange and add up such rows like those of a server
+# that they don't know; a row with more fields would make them fail.
+URGENT_ENDING = "\0urgent"
 
 
 class WorkTable:
@@ -56,6 +60,10 @@
         if work[1] <= 0 and work[0] <= 0:
             del self._own[server]
 
+    def add_urgent(self, server: str, tokens: float, streams: int) -> None:
+        """Change the urgent part of the own work on a server."""
+        self.add(server + URGENT_ENDING, tokens, streams)
+
     def list_own_work(self) -> list[tuple[str, float, float]]:
         """Return the own work as rows of server, waiting tokens and streams."""
         return [(name, work[0], work[1]) for name, work in self._own.items()]
@@ -139,24 +147,27 @@
         self._unsent_results.pop(server, None)
         self._answered_at.pop(server, None)
 
+    def list_urgent_work(
+        self, servers: Iterable[str], now: float
+    ) -> dict[str, tuple[float, float]]:
+        """Return the waiting tokens and streams of urgent requests by server."""
+        peers = self._list_peer_rows(now)
+        found = {}
+        for server in servers:
+            tokens, streams = self._sum_row(server + URGENT_ENDING, peers)
+            if tokens or streams:
+                found[server] = (tokens, streams)
+        return found
+
     def list_views(
         self, servers: Iterable[BackendServer], prompt: Prompt | None, now: float
     ) -> list[ServerView]:
         """Return the views of servers for a placement decision."""
-        peers = [
-            rows
-            for received_at, rows in self._peers.values()
-            if now - received_at < self.peer_work_valid_seconds
-        ]
+        peers = self._list_peer_rows(now)
         views = []
         for server in servers:
             name = server.name
-            tokens, streams = self._own.get(name, (0.0, 0.0))
-            for rows in peers:
-                row = rows.get(name)
-                if row is not None:
-                    tokens += row[0]
-                    streams += row[1]
+            tokens, streams = self._sum_row(name, peers)
             cached = 0
             if prompt is not None:
                 cached = self.parts.count_tokens(name, prompt.parts)
@@ -174,3 +185,21 @@
                 )
             )
         return views
+
+    def _list_peer_rows(self, now: float) -> list[dict[str, tuple[float, float]]]:
+        return [
+            rows
+            for received_at, rows in self._peers.values()
+            if now - received_at < self.peer_work_valid_seconds
+        ]
+
+    def _sum_row(
+        self, name: str, peers: list[dict[str, tuple[float, float]]]
+    ) -> tuple[float, float]:
+        tokens, streams = self._own.get(name, (0.0, 0.0))
+        for rows in peers:
+            row = rows.get(name)
+            if row is not None:
+                tokens += row[0]
+                streams += row[1]
+        return tokens, streams
--- a/wisteriagw/routes/__init__.py
+++ b/wisteriagw/routes/__init__.py
@@ -14,6 +14,7 @@
 from wisteriagw.routes._scaling_terms import ScalingTerms
 from wisteriagw.routes._service import Service
 from wisteriagw.routes._stop_admission import Stop, can_end_before_exit
+from wisteriagw.routes._urgent_rank import find_rank, find_urgent_rank
 
 __all__ = [
     "Admitted",
@@ -29,6 +30,8 @@
     "can_end_before_exit",
     "choose_service",
     "decide_admission",
+    "find_rank",
+    "find_urgent_rank",
     "index_routes",
     "match_route",
 ]
