Build server views with their speed, and skip the decay of no failures

Cause: placing a request became more expensive with server speeds: where speeds differ, each view was built twice (_replace for each server), and each request reads the speed and the demand. Evidence: processor time of placing a request among 54 servers, least of several runs: 98 us before, 112 us after, 155 us with unequal speeds; on a relay with rows of 29 VMs and 2 data centres 178, 187 and 231 us. Change: WorkTable.list_views takes the speeds; the failure cost of a server without failures is 0 without the decay, which gives the same 0. Result, same script: 85 us, and 89 us with unequal speeds; on the relay 159 and 168 us.

--- a/wisteriagw/gateway/_server_access.py
+++ b/wisteriagw/gateway/_server_access.py
@@ -262,11 +262,8 @@
             if not context.work.is_unavailable(server.name, now)
             and not context.notices.find_wait(server, now)
         ]
-        views = context.work.list_views(servers, self.caller.prompt, now)
         speeds = context.speeds.find_speeds(service, known, now)
-        if not speeds:
-            return views
-        return [view._replace(speed=speeds.get(view.name, 1.0)) for view in views]
+        return context.work.list_views(servers, self.caller.prompt, now, speeds)
 
     def view_server(self, server: BackendServer) -> ServerView:
         """Return the work of all VMs at a server, without its speed."""
--- a/wisteriagw/placement/_server_health.py
+++ b/wisteriagw/placement/_server_health.py
@@ -47,6 +47,9 @@
 
 def estimate_failure_cost(health: ServerHealth, now: float) -> float:
     """Return the seconds that a request is expected to lose to failures."""
+    if not health.failures:
+        # Most servers have no failures, and each placement asks for all of them.
+        return 0.0
     decayed = decay(health, now)
     rate = decayed.failures / (decayed.results + PRIOR_ANSWERS)
     return FAILURE_COST_SECONDS * rate
--- a/wisteriagw/placement/_work_table.py
+++ b/wisteriagw/placement/_work_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from types import MappingProxyType
 from typing import TYPE_CHECKING
 
 from wisteriagw.placement._cached_parts import CachedParts
@@ -14,7 +15,7 @@
 from wisteriagw.placement._server_view import ServerView
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Collection, Iterable, Mapping
 
     from wisteriagw.fleet import BackendServer
     from wisteriagw.placement._prompt import Prompt
@@ -25,6 +26,7 @@
 # Servers with fewer decayed failures are left out of the results sent to peers.
 MIN_SENT_FAILURES = 0.05
 NO_RESULTS = ServerHealth()
+EQUAL_SPEEDS: Mapping[str, float] = MappingProxyType({})
 
 
 class WorkTable:
@@ -140,9 +142,19 @@
         self._answered_at.pop(server, None)
 
     def list_views(
-        self, servers: Iterable[BackendServer], prompt: Prompt | None, now: float
+        self,
+        servers: Iterable[BackendServer],
+        prompt: Prompt | None,
+        now: float,
+        speeds: Mapping[str, float] = EQUAL_SPEEDS,
     ) -> list[ServerView]:
-        """Return the views of servers for a placement decision."""
+        """Return the views of servers for a placement decision.
+
+        Parameters
+        ----------
+        speeds : mapping of str to float
+            Speeds other than 1 by server.
+        """
         peers = [
             rows
             for received_at, rows in self._peers.values()
@@ -171,6 +183,7 @@
                     streams,
                     cached,
                     failure_penalty,
+                    speeds.get(name, 1.0),
                 )
             )
         return views
