Decay the response times of hedging once an interval, not per response

Cause: LatencyTable.add decayed the counts of all services and kinds for each response. Evidence: 4.8 us of processor time for each response with one service, 20.8 us with ten (3,000 responses). Change: a response counts relative to the latest decay, which happens with each update that is sent, or after 0.5 s.

--- a/wisteriagw/hedging/_latency_table.py
+++ b/wisteriagw/hedging/_latency_table.py
@@ -37,10 +37,13 @@
 
     def add(self, service: str, kind: str, seconds: float, now: float) -> None:
         """Add a response that began some seconds after its request was sent."""
-        self._decay(now)
+        if now - self._decayed_at > REFRESH_SECONDS:
+            self._decay(now)
         bucket = MAPPING.key(min(max(seconds, MIN_SECONDS), MAX_SECONDS))
         buckets = self._own.setdefault((service, kind), {})
-        buckets[bucket] = buckets.get(bucket, 0.0) + 1.0
+        # The counts stay as of the latest decay, to which a later response adds more.
+        count = math.exp((now - self._decayed_at) / DECAY_SECONDS)
+        buckets[bucket] = buckets.get(bucket, 0.0) + count
 
     def list_rows(self, now: float) -> list[tuple[str, tuple[float, ...]]]:
         """Return rows of key and count for the other VMs; the busiest services first.
