Update only the quotas of customers that have requests

Cause: ten times a second each VM advanced the buckets of all limited customers, active or not. Evidence: 2.16 ms of processor time for an update with 240 idle customers, 0.14 ms with 16; that is 2.2% of a core, where all control may take 3.5%. Change: a bucket that is full, without rows of others and without own requests in the last 5 s is left as it is, unless the fraction of the quota changes.

--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -195,6 +195,31 @@
         refused = gateway.request("ask")
         assert float(refused.headers[b"retry-after"]) == pytest.approx(2.0)
 
+    def test_idle_customers_cost_no_updates(self, monkeypatch) -> None:
+        # With 240 customers the updates took 2% of a core, ten times a second.
+        gateway = self.start(CustomerQuota(1_000.0, 500.0, True, 300.0))
+        updated: list[float] = []
+        update = QuotaBucket.update
+
+        def count(bucket, *arguments) -> None:
+            updated.append(gateway.clock.seconds())
+            update(bucket, *arguments)
+
+        monkeypatch.setattr(QuotaBucket, "update", count)
+        gateway.request("safe")
+        for _ in range(100):
+            gateway.clock.advance(0.1)
+            now = gateway.clock.seconds()
+            gateway.sums.apply_peer_rows("vm-2", (), now)
+            gateway.handler.quotas.update([0.0], 1)
+        assert 1_004.0 < updated[-1] < 1_006.0
+        gateway.confirm()
+        assert gateway.request("safe").status != 429
+        # Half of the VMs are out of reach, and so is half of the quota.
+        gateway.clock.advance(20.0)
+        gateway.handler.quotas.update([0.0], 2)
+        assert updated[-1] == gateway.clock.seconds()
+
     def test_request_without_a_server_returns_its_tokens(self) -> None:
         gateway = self.start(CustomerQuota(1.0, 1.0))
         gateway.fleet.fleet.servers.clear()
--- a/wisteriagw/gateway/_customer_quotas.py
+++ b/wisteriagw/gateway/_customer_quotas.py
@@ -96,10 +96,17 @@
         # The others go on at their last rate until they no longer count as alive.
         stale = valid_seconds <= age < math.inf and alive > 1
         rows = {} if stale else context.sums.get_others(TABLE, now)
+        report_seconds = REPORT_PART_OF_VALIDITY * valid_seconds
         for name, quota in self._quotas.items():
             bucket = self._find_bucket(name, quota, now)
+            if (
+                name not in rows
+                and bucket.is_idle(now)
+                and bucket.fraction == self._fraction
+            ):
+                # The update would change nothing, and most customers are idle.
+                continue
             others = bucket.others if stale else decode_row(rows.get(name, ()))
-            report_seconds = REPORT_PART_OF_VALIDITY * valid_seconds
             bucket.update(others, self._fraction, report_seconds, now)
             level = bucket.get_view(now).level
             context.metrics.quota_level.labels(name).set(level)
--- a/wisteriagw/quotas/_quota_bucket.py
+++ b/wisteriagw/quotas/_quota_bucket.py
@@ -41,6 +41,7 @@
 # exceeded the bound by 1%.
 LEVEL_REPORTS = 3.0
 NEVER = float("-inf")
+NO_OTHERS = OtherVms()
 
 
 class QuotaBucket:
@@ -131,6 +132,15 @@
         self.fraction = fraction
         self.report_seconds = report_seconds + ADMITTED_SECONDS
 
+    def is_idle(self, now: float) -> bool:
+        """Return whether the bucket is full and no VM has requests of the customer."""
+        return (
+            now >= self._active_until
+            and self.others == NO_OTHERS
+            and not self._restricted
+            and self._level >= self._capacity
+        )
+
     def request(self, cost: float, now: float) -> QuotaDecision:
         """Decide on a request and count it."""
         self._demand.add(cost, now)
