--- a/wisteriagw/placement/_work_table.py
+++ b/wisteriagw/placement/_work_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from types import MappingProxyType
 from typing import TYPE_CHECKING
 
 from wisteriagw.placement._cached_parts import CachedParts
@@ -14,7 +15,7 @@
 from wisteriagw.placement._server_view import ServerView
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Collection, Iterable, Mapping
 
     from wisteriagw.fleet import BackendServer
     from wisteriagw.placement._prompt import Prompt
@@ -29,6 +30,7 @@
 # this ending. Builds without it exchange and add up such rows like those of a server
 # that they don't know; a row with more fields would make them fail.
 URGENT_ENDING = "\0urgent"
+EQUAL_SPEEDS: Mapping[str, float] = MappingProxyType({})
 
 
 class WorkTable:
@@ -160,9 +162,19 @@
         return found
 
     def list_views(
-        self, servers: Iterable[BackendServer], prompt: Prompt | None, now: float
+        self,
+        servers: Iterable[BackendServer],
+        prompt: Prompt | None,
+        now: float,
+        speeds: Mapping[str, float] = EQUAL_SPEEDS,
     ) -> list[ServerView]:
-        """Return the views of servers for a placement decision."""
+        """Return the views of servers for a placement decision.
+
+        Parameters
+        ----------
+        speeds : mapping of str to float
+            Speeds other than 1 by server.
+        """
         peers = self._list_peer_rows(now)
         views = []
         for server in servers:
@@ -182,6 +194,7 @@
                     streams,
                     cached,
                     failure_penalty,
+                    speeds.get(name, 1.0),
                 )
             )
         return views
--- a/wisteriagw/quotas/_quota_bucket.py
+++ b/wisteriagw/quotas/_quota_bucket.py
@@ -41,6 +41,7 @@
 # exceeded the bound by 1%.
 LEVEL_REPORTS = 3.0
 NEVER = float("-inf")
+NO_OTHERS = OtherVms()
 
 
 class QuotaBucket:
@@ -131,6 +132,15 @@
         self.fraction = fraction
         self.report_seconds = report_seconds + ADMITTED_SECONDS
 
+    def is_idle(self, now: float) -> bool:
+        """Return whether the bucket is full and no VM has requests of the customer."""
+        return (
+            now >= self._active_until
+            and self.others == NO_OTHERS
+            and not self._restricted
+            and self._level >= self._capacity
+        )
+
     def request(self, cost: float, now: float) -> QuotaDecision:
         """Decide on a request and count it."""
         self._demand.add(cost, now)
@@ -196,7 +206,13 @@
         if view.restricted and view.level > 0:
             part_level = self._part_level + elapsed * view.part_rate
             self._part_level = min(part_level, self._capacity)
-        level = self._level + elapsed * (self._rate - self.others.admitted)
+        # The others' latest rate may be that of a burst. After a pause of this process
+        # they count at most at the rate of the quota for the rest of the pause.
+        admitted = self.others.admitted
+        reported = min(elapsed, self.report_seconds)
+        drained = reported * admitted
+        drained += (elapsed - reported) * min(admitted, self._rate)
+        level = self._level + elapsed * self._rate - drained
         if now < self._reduced_until:
             level = max(level, -REDUCED_DEBT_SECONDS * self._rate)
         self._level = min(level, self._capacity)
