--- a/tests/support/_gateway_fixture.py
+++ b/tests/support/_gateway_fixture.py
@@ -21,7 +21,6 @@
 from wisteriagw.gateway._crash_detector import CrashDetector
 from wisteriagw.gateway._crashing_parts import CrashingParts
 from wisteriagw.gateway._decision_log import DecisionLog
-from wisteriagw.gateway._demand_meter import DemandMeter
 from wisteriagw.gateway._engine_rate_table import EngineRateTable
 from wisteriagw.gateway._fleet_feed import FleetFeed
 from wisteriagw.gateway._metrics import GatewayMetrics
@@ -225,7 +224,6 @@
         self.pending_updates = PendingUpdates(self.usage)
         self.crashing_parts = CrashingParts(self.clock.seconds)
         log, metrics = DecisionLog(self.clock.seconds), GatewayMetrics()
-        rates = EngineRateTable()
         self.context = GatewayContext(
             self.clock,
             SETTINGS,
@@ -233,7 +231,7 @@
             self.fleet,
             self.pool,
             self.work,
-            rates,
+            EngineRateTable(),
             RetryBudgets(SETTINGS),
             self.usage,
             self.pending_updates,
@@ -254,7 +252,6 @@
             self.store.eras,
             EngineClient(CallClient(self.clock, self.pool)),
             self.sums,
-            DemandMeter(self.clock.seconds, rates),
             self.speeds,
             UrgentRanks(),
         )
--- a/wisteriagw/gateway/_authority_duties.py
+++ b/wisteriagw/gateway/_authority_duties.py
@@ -8,8 +8,6 @@
 from twisted.internet.defer import Deferred
 
 from wisteriagw.gateway._authority_controller import AuthorityController
-from wisteriagw.gateway._demand_monitor import DemandMonitor
-from wisteriagw.gateway._demand_orders import DemandOrders
 from wisteriagw.gateway._scaler import Scaler
 from wisteriagw.gateway._stage_controller import StageController
 from wisteriagw.gateway._usage_reporter import UsageReporter
@@ -54,14 +52,8 @@
             wall_clock,
             settings.first_start,
         )
-        self._demand = DemandMonitor(context, lambda: len(members.entries))
         self._scaler = Scaler(
-            reactor,
-            client,
-            self._authority,
-            context.configuration,
-            context.fleet,
-            DemandOrders(context, self._demand),
+            reactor, client, self._authority, context.configuration, context.fleet
         )
         self._stages = StageController(
             reactor,
@@ -72,7 +64,6 @@
             context.work,
             context.notices.table,
             exchange.announce_unavailable,
-            self._demand.find_stage_need,
         )
         self._reporter = UsageReporter(
             store,
@@ -94,10 +85,6 @@
         """Stop competing; the current term expires by itself."""
         self._authority.stop()
 
-    def observe_demand(self) -> None:
-        """Take a sample of the demand, also while a duty waits for an answer."""
-        self._demand.observe()
-
     def run_cycle(self) -> Deferred[None]:
         """Run one cycle of each duty."""
         return Deferred.fromCoroutine(self._run_all())
--- a/wisteriagw/gateway/_context.py
+++ b/wisteriagw/gateway/_context.py
@@ -13,7 +13,6 @@
     from wisteriagw.gateway._crash_detector import CrashDetector
     from wisteriagw.gateway._crashing_parts import CrashingParts
     from wisteriagw.gateway._decision_log import DecisionLog
-    from wisteriagw.gateway._demand_meter import DemandMeter
     from wisteriagw.gateway._engine_rate_table import EngineRateTable
     from wisteriagw.gateway._fleet_feed import FleetFeed
     from wisteriagw.gateway._hedges import Hedges
@@ -51,7 +50,6 @@
     eras: EraTracker
     engines: EngineClient
     sums: SumTable
-    demand: DemandMeter
     speeds: SpeedTable
     urgent_ranks: UrgentRanks
     # None if the limit is 0.
--- a/wisteriagw/gateway/_metrics.py
+++ b/wisteriagw/gateway/_metrics.py
@@ -108,18 +108,6 @@
             ("side",),
             registry=self._registry,
         )
-        self.scaling_target = Gauge(
-            "wisteriagw_scaling_target",
-            "Servers that the holder of the authority wants, 0 elsewhere",
-            ("service",),
-            registry=self._registry,
-        )
-        self.scaling_peak = Gauge(
-            "wisteriagw_scaling_peak",
-            "Peak of the demand in the last minute, in fully busy servers",
-            ("service",),
-            registry=self._registry,
-        )
         self.slowest_server = Gauge(
             "wisteriagw_slowest_server_speed",
             "Speed of the slowest backend server in multiples of its service's mean",
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -28,7 +28,6 @@
 from wisteriagw.gateway._crashing_parts import CrashingParts
 from wisteriagw.gateway._customer_quotas import UPDATE_INTERVAL_SECONDS
 from wisteriagw.gateway._decision_log import DecisionLog
-from wisteriagw.gateway._demand_meter import DemandMeter
 from wisteriagw.gateway._directory_handler import DirectoryHandler
 from wisteriagw.gateway._engine_rate_table import EngineRateTable
 from wisteriagw.gateway._fleet_feed import FleetFeed, find_read_wait
@@ -179,7 +178,6 @@
         self._exchange.start()
         self._repeat(SWEEP_INTERVAL_SECONDS, self._sweep)
         self._repeat(UPDATE_INTERVAL_SECONDS, self._update_quotas)
-        self._repeat(DUTY_INTERVAL_SECONDS, self._duties.observe_demand)
         self._repeat(LOST_USAGE_INTERVAL_SECONDS, lambda: self._write(self._lost_usage))
         self._repeat(SERVED_USAGE_SECONDS, lambda: self._write(self._served_usage))
         self._repeat(DUTY_INTERVAL_SECONDS, self._duties.run_cycle)
@@ -218,7 +216,6 @@
         )
         log, metrics = DecisionLog(reactor.seconds), GatewayMetrics()
         crashing_parts = CrashingParts(reactor.seconds)
-        rates = EngineRateTable()
         return GatewayContext(
             reactor,
             settings,
@@ -228,7 +225,7 @@
             fleet,
             pool,
             work,
-            rates,
+            EngineRateTable(),
             RetryBudgets(settings),
             usage,
             PendingUpdates(usage),
@@ -241,7 +238,6 @@
             store.eras,
             engines,
             sums,
-            DemandMeter(reactor.seconds, rates),
             SpeedTable(sums),
             UrgentRanks(),
             build_hedges(self._hedge_limit, settings.retry_window, sums),
--- a/wisteriagw/gateway/_queue_check.py
+++ b/wisteriagw/gateway/_queue_check.py
@@ -60,7 +60,6 @@
     def _refuse(self, plan: Plan, terms: QueueTerms) -> RefusedNotRun:
         access = self._access
         context = access.context
-        context.demand.record_refusal(access.service.name)
         retry_after = find_queue_return(
             plan.queue_seconds - find_queue_limit(terms),
             access.deadline - context.reactor.seconds(),
--- a/wisteriagw/gateway/_scaler.py
+++ b/wisteriagw/gateway/_scaler.py
@@ -6,12 +6,11 @@
 from typing import TYPE_CHECKING, Any
 
 from wisteriagw.platform import is_done, is_none_available
-from wisteriagw.spending import DataCentreCapacity, follows_demand, plan_capacity
+from wisteriagw.spending import DataCentreCapacity, plan_capacity
 
 if TYPE_CHECKING:
     from wisteriagw.gateway._authority_controller import AuthorityController
     from wisteriagw.gateway._configuration_feed import ConfigurationFeed
-    from wisteriagw.gateway._demand_orders import DemandOrders
     from wisteriagw.gateway._fleet_feed import FleetFeed
     from wisteriagw.outcomes import Outcome
     from wisteriagw.platform import DutyClient
@@ -36,15 +35,12 @@
         authority: AuthorityController,
         configuration: ConfigurationFeed,
         fleet: FleetFeed,
-        demand: DemandOrders | None = None,
     ) -> None:
         self._reactor = reactor
         self._duties = duties
         self._authority = authority
         self._configuration = configuration
         self._fleet = fleet
-        # None orders the maximum for each service.
-        self._demand = demand
         self._paused_until: dict[tuple[str, str, bool], float] = {}
         # When orders for reclaimable servers began to be refused, by service and data
         # centre; None while they are accepted.
@@ -59,9 +55,6 @@
             if service.scaling is None:
                 continue
             capacities = self._list_capacities(service)
-            if self._follows_demand(service):
-                await self._send_by_demand(service, capacities)
-                continue
             orders = plan_capacity(
                 capacities,
                 service.scaling.max_servers,
@@ -70,27 +63,6 @@
             for order in orders:
                 await self._send(service, order)
 
-    def _follows_demand(self, service: Service) -> bool:
-        return self._demand is not None and follows_demand(service.scaling.max_servers)
-
-    async def _send_by_demand(
-        self, service: Service, capacities: list[DataCentreCapacity]
-    ) -> None:
-        fencing_number = self._authority.get_fencing_number()
-        self._demand.track_authority(fencing_number)
-        if fencing_number is None:
-            return
-        known = {capacity.data_centre: capacity for capacity in capacities}
-        for order in self._demand.plan(service, capacities):
-            refused = self._refused_since.get((service.name, order.data_centre))
-            if refused is None and self._demand.is_increase(service, order):
-                key = (service.name, order.data_centre, order.reclaimable)
-                self._paused_until.pop(key, None)
-            outcome = await self._send(service, order)
-            if outcome is not None:
-                capacity = known[order.data_centre]
-                self._demand.record(service, capacity, order, outcome)
-
     def _list_capacities(self, service: Service) -> list[DataCentreCapacity]:
         counts: dict[str, list[int]] = {}
         for server in self._fleet.fleet.list_service(service.name):
@@ -111,13 +83,12 @@
             )
         return capacities
 
-    async def _send(self, service: Service, order: CentreOrder) -> Outcome | None:
-        """Send an order; return its outcome, or None if it is not due."""
+    async def _send(self, service: Service, order: CentreOrder) -> None:
         key = (service.name, order.data_centre, order.reclaimable)
         now = self._reactor.seconds()
         fencing_number = self._authority.get_fencing_number()
         if fencing_number is None or now < self._paused_until.get(key, float("-inf")):
-            return None
+            return
         outcome = await self._duties.order_servers(
             service.name,
             order.data_centre,
@@ -135,7 +106,6 @@
             fencing_number,
             outcome,
         )
-        return outcome
 
     def _record_outcome(self, key: tuple[str, str], outcome: Outcome) -> None:
         if is_done(outcome):
--- a/wisteriagw/gateway/_server_access.py
+++ b/wisteriagw/gateway/_server_access.py
@@ -92,12 +92,10 @@
 
     def place(self, excluded: tuple[str, ...]) -> Plan | None:
         """Return where the request goes, or None if no server can take it."""
-        context, prompt = self.context, self.caller.prompt
+        context = self.context
         now = context.reactor.seconds()
         views = self._list_views(now)
         plan = self._choose(views, excluded)
-        if not excluded:
-            context.demand.record_placement(self.service, prompt, plan)
         known = context.fleet.fleet.servers
         context.log.write(
             "placement",
--- a/wisteriagw/gateway/_stage_controller.py
+++ b/wisteriagw/gateway/_stage_controller.py
@@ -17,7 +17,7 @@
     from wisteriagw.notices import NoticeTable
     from wisteriagw.placement import WorkTable
     from wisteriagw.platform import DutyClient
-    from wisteriagw.roles import StageChange, StageNeed
+    from wisteriagw.roles import StageChange
     from wisteriagw.routes import Service
 
 logger = logging.getLogger(__name__)
@@ -43,7 +43,6 @@
         work: WorkTable,
         notices: NoticeTable,
         announce: Callable[[str, float], None],
-        find_need: Callable[[Service], StageNeed | None] = lambda service: None,
     ) -> None:
         self._reactor = reactor
         self._duties = duties
@@ -53,7 +52,6 @@
         self._work = work
         self._notices = notices
         self._announce = announce
-        self._find_need = find_need
         self._ordered: dict[str, tuple[str, float]] = {}
         self._peaks: dict[str, float] = {}
         self._updated_at = reactor.seconds()
@@ -75,8 +73,7 @@
             self._peaks[service.name] = peak
             if self._authority.get_fencing_number() is None:
                 continue
-            need = self._find_need(service)
-            change = plan_stages(engines, peak, service.engine.slots, need)
+            change = plan_stages(engines, peak, service.engine.slots)
             if change is not None:
                 await self._send(service, change)
 
--- a/wisteriagw/roles/__init__.py
+++ b/wisteriagw/roles/__init__.py
@@ -11,7 +11,6 @@
 from wisteriagw.roles._roles_decision import RolesDecision
 from wisteriagw.roles._roles_view import RolesView
 from wisteriagw.roles._stage_change import StageChange
-from wisteriagw.roles._stage_need import StageNeed
 from wisteriagw.roles._stage_planning import (
     count_prefill_engines,
     plan_stages,
@@ -29,7 +28,6 @@
     "RolesDecision",
     "RolesView",
     "StageChange",
-    "StageNeed",
     "StagedEngine",
     "count_prefill_engines",
     "plan_roles",
--- a/wisteriagw/roles/_stage_planning.py
+++ b/wisteriagw/roles/_stage_planning.py
@@ -5,13 +5,11 @@
 import math
 from typing import TYPE_CHECKING
 
-from wisteriagw.roles._demand_split import choose_lacking_stage
 from wisteriagw.roles._stage_change import StageChange
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from wisteriagw.roles._stage_need import StageNeed
     from wisteriagw.roles._staged_engine import StagedEngine
 
 # Bounds on the fraction of prefill engines. They run a prefill twice as fast as decode
@@ -43,10 +41,7 @@
 
 
 def plan_stages(
-    engines: Sequence[StagedEngine],
-    peak_streams: float,
-    slots: int,
-    need: StageNeed | None = None,
+    engines: Sequence[StagedEngine], peak_streams: float, slots: int
 ) -> StageChange | None:
     """Return the next change that brings the stages to their targets, or None.
 
@@ -65,9 +60,6 @@
         Recent peak of concurrent requests.
     slots : int
         Requests that an engine serves at once.
-    need : StageNeed or None
-        Measured work of both stages, which decides instead of ``peak_streams``; None if
-        it is unknown or the number of engines does not follow the demand.
     """
     count = len(engines)
     if count < 2 or sum(engine.changing for engine in engines) >= MAX_CHANGING:
@@ -78,9 +70,6 @@
     can_swap = len(prefill_engines) > 1 and any(not e.changing for e in unlimited)
     if can_swap and all(engine.stage == "prefill" for engine in unlimited):
         return pick_change(engines, "decode")
-    if need is not None:
-        stage = choose_lacking_stage(count, len(prefill_engines), need)
-        return None if stage is None else pick_change(engines, stage)
     if not prefill_engines or len(prefill_engines) < target - MAX_DEVIATION:
         return pick_change(engines, "prefill")
     if len(prefill_engines) > target + MAX_DEVIATION:
