Bound what the others drain from a quota while this process is paused

Cause: the level of a quota falls at the others' last reported rate. A process that does not run for a while (stopped, or its VM paused) integrated the rate of a burst over the whole pause, although the others admit no more than the quota in it, and then refused the customer until this debt was repaid. Evidence: a quota of 100 per second, others at 300 for the last report, a pause of 60 s: the request 2 s later is refused as 'spent' with Retry-After 60 (the maximum). Change: beyond the time that reports take, the others count at most at the rate.

--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -33,6 +33,15 @@
 class TestQuotaBucket:
     """The level counts own requests at once and the others' over time."""
 
+    def test_pause_of_the_process_does_not_prolong_a_burst_of_the_others(self) -> None:
+        # The debt of a minute at the others' last rate refused requests for minutes.
+        bucket = build_bucket()
+        bucket.update(OtherVms(300.0, 300.0), 1.0, 0.5, 10.0)
+        bucket.request(1.0, 70.0)
+        bucket.update(OtherVms(), 1.0, 0.5, 70.1)
+        # The burst is still among the recent peaks, so this VM may only use its part.
+        assert bucket.request(1.0, 72.0).reason != "spent"
+
     def test_request_larger_than_the_burst_runs_and_its_debt_is_repaid(self) -> None:
         bucket = build_bucket()
         assert bucket.request(500.0, 10.0).admitted
--- a/wisteriagw/quotas/_quota_bucket.py
+++ b/wisteriagw/quotas/_quota_bucket.py
@@ -206,7 +206,13 @@
         if view.restricted and view.level > 0:
             part_level = self._part_level + elapsed * view.part_rate
             self._part_level = min(part_level, self._capacity)
-        level = self._level + elapsed * (self._rate - self.others.admitted)
+        # The others' latest rate may be that of a burst. After a pause of this process
+        # they count at most at the rate of the quota for the rest of the pause.
+        admitted = self.others.admitted
+        reported = min(elapsed, self.report_seconds)
+        drained = reported * admitted
+        drained += (elapsed - reported) * min(admitted, self._rate)
+        level = self._level + elapsed * self._rate - drained
         if now < self._reduced_until:
             level = max(level, -REDUCED_DEBT_SECONDS * self._rate)
         self._level = min(level, self._capacity)
