Leave odd sums of speeds out of placement

Cause: the sums of the others were unpacked as two numbers wherever they came from, and the sum of logarithms was not bounded by its weight, as samples are. Change: sums of another length count as none, and the sum of logarithms is bounded by the greatest sample times the weight.

--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -96,6 +96,16 @@
         new.now += 2.0
         assert new.find() == {}
 
+    @pytest.mark.parametrize("values", [(-1e9, 1.0), (1e9, -5.0), (2.0,), ()])
+    def test_odd_row_of_a_peer_changes_no_speed(self, values: tuple) -> None:
+        # A sum of one number failed each placement; a huge one changed all speeds.
+        vm = Vm()
+        vm.serve(5.0)
+        row = ("speeds", build_key(SERVERS[0]), *values)
+        vm.sums.apply_peer_rows("odd", [row], vm.now)
+        vm.now += 0.3
+        assert vm.find() == {}
+
     def test_update_has_a_bounded_number_of_rows(self) -> None:
         vm = Vm()
         vm.serve(1.0)
--- a/wisteriagw/speeds/_speed_table.py
+++ b/wisteriagw/speeds/_speed_table.py
@@ -8,7 +8,12 @@
 
 from wisteriagw.speeds._baseline import Baseline, update_baseline
 from wisteriagw.speeds._service_speeds import find_log_speeds, limit_speed
-from wisteriagw.speeds._speed_estimate import SpeedEstimate, add_sample, decay
+from wisteriagw.speeds._speed_estimate import (
+    MAX_LOG_RATIO,
+    SpeedEstimate,
+    add_sample,
+    decay,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -99,8 +104,13 @@
         for server in servers:
             key = build_key(server)
             own = decay(self._own.get(key, NO_SAMPLES), now)
-            log_sum, weight = self._others.get(key, NO_SUMS)[:2]
-            sums[key] = (own.log_sum + log_sum, own.weight + max(0.0, weight))
+            others = self._others.get(key, NO_SUMS)
+            log_sum, weight = others if len(others) == 2 else NO_SUMS
+            # No sample counts further, so a greater sum is a fault of a peer.
+            weight = max(0.0, weight)
+            bound = MAX_LOG_RATIO * weight
+            log_sum = min(bound, max(-bound, log_sum))
+            sums[key] = (own.log_sum + log_sum, own.weight + weight)
         logs = find_log_speeds(sums)
         self._logs.update(logs)
         speeds = {}
