--- a/wisteriagw/connections/_server_connection.py
+++ b/wisteriagw/connections/_server_connection.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from functools import singledispatch
 from typing import TYPE_CHECKING, Any
 
 import h11
@@ -13,6 +12,7 @@
 from wisteriagw.connections._read_pacer import ReadPacer, call_later
 from wisteriagw.connections._responder import Responder
 from wisteriagw.connections._response_buffer import ResponseBuffer
+from wisteriagw.connections._server_events import handle_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -315,28 +315,3 @@
             self._buffer.write(self._http.send(event))
             self._buffer.write(self._http.send(h11.EndOfMessage()))
         self.close()
-
-
-@singledispatch
-def handle_event(event: Any, connection: ServerConnection) -> None:
-    """Apply an h11 event to a connection."""
-
-
-@handle_event.register(h11.Request)
-def _(event: h11.Request, connection: ServerConnection) -> None:
-    connection.handle_head(event)
-
-
-@handle_event.register(h11.Data)
-def _(event: h11.Data, connection: ServerConnection) -> None:
-    connection.handle_data(bytes(event.data))
-
-
-@handle_event.register(h11.EndOfMessage)
-def _(event: h11.EndOfMessage, connection: ServerConnection) -> None:
-    connection.handle_end()
-
-
-@handle_event.register(h11.ConnectionClosed)
-def _(event: h11.ConnectionClosed, connection: ServerConnection) -> None:
-    connection.close()
--- a/wisteriagw/quotas/__init__.py
+++ b/wisteriagw/quotas/__init__.py
@@ -5,8 +5,6 @@
 from wisteriagw.quotas._customer_quota import CustomerQuota, find_cost
 from wisteriagw.quotas._decaying_sum import DecayingSum
 from wisteriagw.quotas._decision import (
-    QuotaDecision,
-    QuotaView,
     decide_quota,
     find_fraction,
     is_restricted,
@@ -17,7 +15,9 @@
     DEMAND_SECONDS,
     QuotaBucket,
 )
+from wisteriagw.quotas._quota_decision import QuotaDecision
 from wisteriagw.quotas._quota_tolerance import QuotaTolerance
+from wisteriagw.quotas._quota_view import QuotaView
 
 __all__ = [
     "ADMITTED_SECONDS",
--- a/wisteriagw/quotas/_decision.py
+++ b/wisteriagw/quotas/_decision.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
+
+from wisteriagw.quotas._quota_decision import QuotaDecision
 
 if TYPE_CHECKING:
+    from wisteriagw.quotas._quota_view import QuotaView
     from wisteriagw.ratelimits import VmCounts
 
 # The specification's minimum; a maximum; and the wait while the registered VMs are not
@@ -18,55 +21,6 @@
 REPORTING_EXCESS_PART = 0.3
 
 
-class QuotaView(NamedTuple):
-    """State of a quota on one VM.
-
-    Attributes
-    ----------
-    level : float
-        Tokens that all VMs together have left; negative if they are in debt.
-    rate : float
-        Tokens per second by which the level rises.
-    demand : float
-        Tokens per second that the customer requests from all VMs.
-    peak_demand, others_peak : float
-        Recent maximum of this demand, and of that at the other VMs.
-    part_level, part_rate : float
-        Tokens of this VM's part, which counts while VMs are restricted to theirs, and
-        tokens per second by which it rises.
-    restricted : bool
-        Whether VMs are restricted to their parts.
-    """
-
-    level: float
-    rate: float
-    demand: float
-    peak_demand: float
-    others_peak: float
-    part_level: float
-    part_rate: float
-    restricted: bool
-
-
-class QuotaDecision(NamedTuple):
-    """Decision on a request.
-
-    Attributes
-    ----------
-    admitted : bool
-        Whether the request may run.
-    retry_after : float
-        Seconds after which a refused caller shall come back.
-    reason : str
-        ``spent`` (all VMs are in debt) or ``part`` (only this VM is); empty if the
-        request is admitted.
-    """
-
-    admitted: bool
-    retry_after: float = 0.0
-    reason: str = ""
-
-
 def decide_quota(view: QuotaView) -> QuotaDecision:
     """Return whether the next request of a customer is admitted.
 
--- a/wisteriagw/quotas/_quota_bucket.py
+++ b/wisteriagw/quotas/_quota_bucket.py
@@ -5,16 +5,17 @@
 from typing import TYPE_CHECKING
 
 from wisteriagw.quotas._decaying_sum import DecayingSum
-from wisteriagw.quotas._decision import QuotaView, decide_quota, is_restricted
+from wisteriagw.quotas._decision import decide_quota, is_restricted
 from wisteriagw.quotas._other_vms import OtherVms
 from wisteriagw.quotas._quota_tolerance import QuotaTolerance
+from wisteriagw.quotas._quota_view import QuotaView
 from wisteriagw.quotas._recent_peak import RecentPeak
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from wisteriagw.quotas._customer_quota import CustomerQuota
-    from wisteriagw.quotas._decision import QuotaDecision
+    from wisteriagw.quotas._quota_decision import QuotaDecision
 
 # Time constants of the reported sums. The first is part of the reporting delay; the
 # second has to bridge the gaps between the requests that one VM receives.
