Ignore odd buckets in a peer's rows of response times

Cause: a bucket was taken for a number if its name looked like one, and any number was accepted. The rows are merged while a request starts, so an exception failed requests. Change: only the buckets that a VM can send, from 2 ms to 30 s, are read.

--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -156,6 +156,13 @@
         table.merge({"x": (1.0,), "a/call/y": (1.0,), "a/call/1": ()}, NOW)
         assert table.get_quantiles("a", "call") is None
 
+    @pytest.mark.parametrize("bucket", ["--5", "\u00b2", "99999999", "-99999999"])
+    def test_odd_buckets_of_a_peer_do_not_fail_requests(self, bucket: str) -> None:
+        table = LatencyTable()
+        self.fill(table, "a")
+        table.merge({f"a/call/{bucket}": (1e6,)}, NOW)
+        assert table.get_quantiles("a", "call").late == pytest.approx(1.0, rel=0.2)
+
     def test_old_responses_are_forgotten(self) -> None:
         table = LatencyTable()
         self.fill(table)
--- a/wisteriagw/hedging/_latency_table.py
+++ b/wisteriagw/hedging/_latency_table.py
@@ -16,6 +16,11 @@
 DECAY_SECONDS = 30.0
 MIN_SECONDS = 0.002
 MAX_SECONDS = 30.0
+# Buckets by their name in a row; the value of one far beyond is not a finite number.
+BUCKETS = {
+    str(bucket): bucket
+    for bucket in range(MAPPING.key(MIN_SECONDS), MAPPING.key(MAX_SECONDS) + 1)
+}
 # Smaller counts are dropped: after three decay times one response is worth 0.05.
 MIN_COUNT = 0.05
 # Rows that a VM sends with each update, for all services and kinds.
@@ -102,7 +107,9 @@
     """Yield service and kind, bucket and count of the rows that are well-formed."""
     for name, values in rows.items():
         parts = name.rsplit(SEPARATOR, 2)
-        if len(parts) != 3 or not parts[2].lstrip("-").isdigit() or not values:
+        if len(parts) != 3 or not values:
             continue
-        service, kind, bucket = parts
-        yield (service, kind), int(bucket), max(0.0, values[0])
+        service, kind, number = parts
+        bucket = BUCKETS.get(number)
+        if bucket is not None:
+            yield (service, kind), bucket, max(0.0, values[0])
