--- a/wisteriagw/gateway/_context.py
+++ b/wisteriagw/gateway/_context.py
@@ -24,7 +24,6 @@
     from wisteriagw.gateway.notices import NoticeBoard
     from wisteriagw.placement import WorkTable
     from wisteriagw.platform import EngineClient, NodeSettings
-    from wisteriagw.speeds import SpeedTable
     from wisteriagw.sums import SumTable
 
 
@@ -50,7 +49,6 @@
     eras: EraTracker
     engines: EngineClient
     sums: SumTable
-    speeds: SpeedTable
     urgent_ranks: UrgentRanks
     # None if the limit is 0.
     hedges: Hedges | None = None
--- a/wisteriagw/gateway/_gauges.py
+++ b/wisteriagw/gateway/_gauges.py
@@ -27,7 +27,6 @@
     metrics = context.metrics
     for kind, count in context.notices.count_in_force().items():
         metrics.server_notices.labels(kind).set(count)
-    update_speeds(context)
     metrics.vms.set(vms)
     metrics.store_restores.set(context.eras.restores)
     metrics.backend_servers.set(len(context.fleet.fleet.servers))
@@ -43,17 +42,3 @@
     for side, budget in budgets:
         metrics.buffered_bytes.labels(side).set(budget.used)
         metrics.dropped_buffers.labels(side).set(budget.dropped)
-
-
-def update_speeds(context: GatewayContext) -> None:
-    """Set the gauges of the slowest and fastest server of each service."""
-    now = context.reactor.seconds()
-    table = context.configuration.table
-    for service in () if table is None else table.services:
-        servers = context.fleet.fleet.list_service(service)
-        if not servers:
-            continue
-        found = context.speeds.find_speeds(service, servers, now)
-        speeds = [found.get(server.name, 1.0) for server in servers]
-        context.metrics.slowest_server.labels(service).set(min(speeds))
-        context.metrics.fastest_server.labels(service).set(max(speeds))
--- a/wisteriagw/gateway/_hedged_attempt.py
+++ b/wisteriagw/gateway/_hedged_attempt.py
@@ -13,7 +13,7 @@
 from wisteriagw.gateway._hedge_check import check_hedge
 from wisteriagw.gateway._hedge_side import HedgeSide, is_good
 from wisteriagw.gateway._request_forwarder import OK_STATUS, RequestForwarder
-from wisteriagw.hedging import find_delay, is_eligible
+from wisteriagw.hedging import is_eligible
 from wisteriagw.outcomes import Answering, MayHaveRun, RefusedNotRun
 from wisteriagw.retries import record_attempt, record_cancelled
 
@@ -105,10 +105,7 @@
         )
         if quantiles is None:
             return
-        server = access.context.fleet.fleet.servers.get(self.forwarder.server)
-        speed = 1.0 if server is None else access.context.speeds.get_speed(server)
-        delay = find_delay(quantiles, speed)
-        self._timer = reactor.callLater(delay, self._consider_hedge, quantiles)
+        self._timer = reactor.callLater(quantiles.late, self._consider_hedge, quantiles)
 
     def _consider_hedge(self, quantiles: Quantiles) -> None:
         self._timer = None
--- a/wisteriagw/gateway/_metrics.py
+++ b/wisteriagw/gateway/_metrics.py
@@ -108,18 +108,6 @@
             ("side",),
             registry=self._registry,
         )
-        self.slowest_server = Gauge(
-            "wisteriagw_slowest_server_speed",
-            "Speed of the slowest backend server in multiples of its service's mean",
-            ("service",),
-            registry=self._registry,
-        )
-        self.fastest_server = Gauge(
-            "wisteriagw_fastest_server_speed",
-            "Speed of the fastest backend server in multiples of its service's mean",
-            ("service",),
-            registry=self._registry,
-        )
         self.vms = Gauge(
             "wisteriagw_vms",
             "VMs that are alive, including this one",
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -56,7 +56,6 @@
 from wisteriagw.placement import WorkTable
 from wisteriagw.platform import EngineClient, StoreClient
 from wisteriagw.routes import CallerLimits
-from wisteriagw.speeds import SpeedTable
 from wisteriagw.sums import SumTable
 
 if TYPE_CHECKING:
@@ -238,7 +237,6 @@
             store.eras,
             engines,
             sums,
-            SpeedTable(sums),
             UrgentRanks(),
             build_hedges(self._hedge_limit, settings.retry_window, sums),
         )
@@ -272,7 +270,6 @@
 
     def _remove_server(self, server: BackendServer) -> None:
         self.context.work.remove_server(server.name)
-        self.context.speeds.remove_server(server)
         self.context.pool.close_address(server.address)
         self._call_pool.close_address(server.address)
 
--- a/wisteriagw/gateway/_prompt_prefill.py
+++ b/wisteriagw/gateway/_prompt_prefill.py
@@ -40,7 +40,7 @@
         access, context = self._access, self._access.context
         server = context.fleet.fleet.servers[plan.prefill]
         waiting = access.view_server(server).waiting_tokens
-        self._timing.start(server, waiting + plan.uncached_tokens)
+        self._timing.start(waiting + plan.uncached_tokens)
         self._reservation = WorkReservation(
             context.work, server.name, plan.uncached_tokens, access.urgent
         )
@@ -103,7 +103,7 @@
 
     def _record_prefill(self, plan: Plan, waiting: float, seconds: float) -> None:
         access, context = self._access, self._access.context
-        self._timing.record_prefill()
+        self._timing.record()
         context.work.record_success(plan.prefill, context.reactor.seconds())
         context.log.write(
             "prefilled",
--- a/wisteriagw/gateway/_request_forwarder.py
+++ b/wisteriagw/gateway/_request_forwarder.py
@@ -188,7 +188,7 @@
         context = self._access.context
         now = context.reactor.seconds()
         context.work.record_success(self.server, now)
-        self._timing.record_first_event()
+        self._timing.record()
         self._sent_at = 0.0
         self._running_since = now
         self._usage.count()
@@ -207,7 +207,8 @@
                 self._record_sound_answer()
             context.work.record_success(self.server, now)
             if self._running_since is not None:
-                self._timing.record_stream(now - self._running_since)
+                seconds = now - self._running_since
+                context.rates.add_stream(self._access.service.name, seconds)
         else:
             context.work.record_failure(self.server, now, SERVER_ERROR_WEIGHT)
 
@@ -250,7 +251,7 @@
             tokens = plan.uncached_tokens
             waiting = access.view_server(server).waiting_tokens
             expected_tokens = (waiting + tokens) * FULL_PREFILL_FACTOR
-        self._timing.start(server, expected_tokens)
+        self._timing.start(expected_tokens)
         self._reservation = WorkReservation(
             context.work, server.name, tokens, access.urgent
         )
@@ -289,7 +290,6 @@
         if terms.source is not None:
             self._prefill.record_fetched()
         if not self._access.route.streaming:
-            self._timing.record_head(head.status)
             self._usage.count()
         return Answering(self._response, head)
 
--- a/wisteriagw/gateway/_server_access.py
+++ b/wisteriagw/gateway/_server_access.py
@@ -96,7 +96,6 @@
         now = context.reactor.seconds()
         views = self._list_views(now)
         plan = self._choose(views, excluded)
-        known = context.fleet.fleet.servers
         context.log.write(
             "placement",
             request_id=self.caller.request_id,
@@ -106,7 +105,6 @@
             server=plan.server if plan else "",
             prefill=plan.prefill if plan else "",
             fetch_from=plan.fetch_from if plan else "",
-            speed=context.speeds.get_speed(known[plan.server]) if plan else None,
             estimate=round(plan.seconds, 4) if plan else None,
             fleet_age=round(now - context.fleet.follower.read_at, 3)
             if math.isfinite(context.fleet.follower.read_at)
@@ -245,19 +243,16 @@
 
     def _list_views(self, now: float) -> list[ServerView]:
         context = self.context
-        service = self.service.name
-        known = context.fleet.fleet.list_service(service)
         servers = [
             server
-            for server in known
+            for server in context.fleet.fleet.list_service(self.service.name)
             if not context.work.is_unavailable(server.name, now)
             and not context.notices.find_wait(server, now)
         ]
-        speeds = context.speeds.find_speeds(service, known, now)
-        return context.work.list_views(servers, self.caller.prompt, now, speeds)
+        return context.work.list_views(servers, self.caller.prompt, now)
 
     def view_server(self, server: BackendServer) -> ServerView:
-        """Return the work at a server that comes first, without the server's speed."""
+        """Return the work at a server that comes first."""
         context = self.context
         now = context.reactor.seconds()
         view = context.work.list_views((server,), None, now)[0]
--- a/wisteriagw/hedging/__init__.py
+++ b/wisteriagw/hedging/__init__.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from wisteriagw.hedging._decision import HedgeDecision, decide_hedge
-from wisteriagw.hedging._delay import find_delay, find_race_seconds
+from wisteriagw.hedging._delay import find_race_seconds
 from wisteriagw.hedging._eligibility import is_eligible
 from wisteriagw.hedging._failing_centres import is_centre_failing
 from wisteriagw.hedging._hedge_budget import HedgeBudget
@@ -21,7 +21,6 @@
     "Quantiles",
     "compute_quantiles",
     "decide_hedge",
-    "find_delay",
     "find_race_seconds",
     "is_centre_failing",
     "is_eligible",
--- a/wisteriagw/placement/__init__.py
+++ b/wisteriagw/placement/__init__.py
@@ -10,11 +10,6 @@
     update_rates,
     update_stream_seconds,
 )
-from wisteriagw.placement._expected_seconds import (
-    expect_answer,
-    expect_first_event,
-    expect_prefill,
-)
 from wisteriagw.placement._load_admission import (
     QueueTerms,
     find_patience,
@@ -45,9 +40,6 @@
     "choose_backup",
     "choose_plan",
     "choose_server",
-    "expect_answer",
-    "expect_first_event",
-    "expect_prefill",
     "find_patience",
     "find_queue_limit",
     "find_queue_return",
--- a/wisteriagw/placement/_choice.py
+++ b/wisteriagw/placement/_choice.py
@@ -40,9 +40,7 @@
     draw: Callable[[], float],
     excluded: tuple[str, ...] = (),
 ) -> Plan | None:
-    """Return a plan for the server of a plain service with the lowest load.
-
-    Load is open requests per slot, in multiples of what an equal server could serve.
+    """Return a plan for the server of a plain service with the lowest load per slot.
 
     Only a random sample of the servers is compared (`sample_servers`).
     """
@@ -50,7 +48,7 @@
     best_load = 0.0
     candidates = [view for view in views if view.name not in excluded]
     for view in sample_servers(candidates, draw, MIN_FETCHED_TOKENS):
-        load = (view.streams + 1) / (view.slots * view.speed) + view.failure_penalty
+        load = (view.streams + 1) / view.slots + view.failure_penalty
         if view.data_centre != data_centre:
             load += REMOTE_PENALTY_SECONDS
         if best is None or load < best_load:
@@ -101,10 +99,8 @@
     rate = rates.tokens_per_second * DECODE_STAGE_FACTOR
     for wait, cost, view in waits:
         plan = plan_prefill(prompt, view, cache_holder, rate, traits)
-        prefill_seconds = plan.uncached_tokens / (rate * view.speed)
-        delay = prefill_seconds * BATCH_DELAY_FRACTION * view.streams
-        first = rates.first_event_seconds / view.speed
-        seconds = wait + cost + plan.seconds + first + delay
+        delay = plan.uncached_tokens / rate * BATCH_DELAY_FRACTION * view.streams
+        seconds = wait + cost + plan.seconds + rates.first_event_seconds + delay
         if best is None or seconds < best.seconds:
             best = plan._replace(
                 seconds=seconds, queue_seconds=plan.queue_seconds + wait
@@ -138,7 +134,7 @@
                 prefill_seconds
                 + wait
                 + cost
-                + rates.first_event_seconds / view.speed
+                + rates.first_event_seconds
                 + SPLIT_OVERHEAD_SECONDS
             )
             tokens = max(0, prompt.tokens - view.cached_tokens)
@@ -160,14 +156,7 @@
     rate: float,
     traits: EngineTraits,
 ) -> Plan:
-    """Return the plan of a prefill on an engine, with its estimated duration.
-
-    Parameters
-    ----------
-    rate : float
-        Prompt tokens per second of an engine of speed 1 in that stage.
-    """
-    rate *= engine.speed
+    """Return the plan of a prefill on an engine, with its estimated duration."""
     cached = engine.cached_tokens
     fetch_from, transfer = "", 0.0
     missing = cache_holder.cached_tokens - cached
@@ -188,23 +177,18 @@
 def estimate_slot_wait(view: ServerView, stream_seconds: float) -> float:
     """Return the seconds until a slot is free, which streams hold for some time."""
     fill = (view.streams + 1) / view.slots
-    return stream_seconds / view.speed * max(0.0, fill - 1)
+    return stream_seconds * max(0.0, fill - 1)
 
 
 def estimate_batch_cost(view: ServerView, data_centre: str) -> float:
     """Return the seconds added by failures, the size of the batch and distance."""
-    seconds = view.failure_penalty + estimate_fill_cost(view)
+    fill = (view.streams + 1) / view.slots
+    seconds = view.failure_penalty + FULL_BATCH_SECONDS * fill * fill
     if view.data_centre != data_centre:
         seconds += REMOTE_PENALTY_SECONDS
     return seconds
 
 
-def estimate_fill_cost(view: ServerView) -> float:
-    """Return the seconds by which the batch slows the first event."""
-    fill = (view.streams + 1) / view.slots
-    return FULL_BATCH_SECONDS * fill * fill / view.speed
-
-
 def estimate_transfer(
     tokens: int, sender: ServerView, receiver: ServerView, traits: EngineTraits
 ) -> float:
--- a/wisteriagw/placement/_sampling.py
+++ b/wisteriagw/placement/_sampling.py
@@ -25,8 +25,7 @@
     of all servers, all VMs would send to the same few until their updates arrive, and
     these queues would be the longest. The better of two spreads the requests
     and still avoids long queues (Mitzenmacher, "How Useful Is Old
-    Information?", 2000). Where servers differ in speed, they are drawn in proportion to
-    it (`draw_weighted`).
+    Information?", 2000).
 
     Parameters
     ----------
@@ -41,9 +40,8 @@
     sound = [view for view in views if is_sound(view)] or list(views)
     sample: list[ServerView] = []
     rest = list(sound)
-    weighted = any(view.speed != 1.0 for view in sound)
     while rest and len(sample) < SAMPLE_SIZE:
-        index = draw_weighted(rest, draw()) if weighted else int(draw() * len(rest))
+        index = int(draw() * len(rest))
         rest[index], rest[-1] = rest[-1], rest[index]
         sample.append(rest.pop())
     cached = max((view.cached_tokens for view in sample), default=0)
@@ -53,26 +51,6 @@
     return sample
 
 
-def draw_weighted(views: Sequence[ServerView], random_fraction: float) -> int:
-    """Return the index of a server, drawn in proportion to its slots times speed.
-
-    Load: servers differ in speed, and all VMs know the same speeds. A draw in
-    proportion bounds the share of the fastest server, and that of a slow one does not
-    fall to 0, so that its recovery is seen.
-
-    Parameters
-    ----------
-    random_fraction : float
-        Random number in [0, 1).
-    """
-    left = random_fraction * sum(view.slots * view.speed for view in views)
-    for index, view in enumerate(views):
-        left -= view.slots * view.speed
-        if left < 0:
-            return index
-    return len(views) - 1
-
-
 def is_sound(view: ServerView) -> bool:
     """Return whether a server answers most of its requests."""
     return view.failure_penalty <= MAX_FAILURE_PENALTY_SECONDS
--- a/wisteriagw/placement/_server_view.py
+++ b/wisteriagw/placement/_server_view.py
@@ -26,8 +26,6 @@
         Leading tokens of the prompt that it is estimated to have cached.
     failure_penalty : float
         Seconds added to its estimate because of recent failures.
-    speed : float
-        Speed in multiples of the mean of its service.
     """
 
     name: str
@@ -38,4 +36,3 @@
     streams: float = 0.0
     cached_tokens: int = 0
     failure_penalty: float = 0.0
-    speed: float = 1.0
--- a/wisteriagw/placement/_work_table.py
+++ b/wisteriagw/placement/_work_table.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from types import MappingProxyType
 from typing import TYPE_CHECKING
 
 from wisteriagw.placement._cached_parts import CachedParts
@@ -15,7 +14,7 @@
 from wisteriagw.placement._server_view import ServerView
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable, Mapping
+    from collections.abc import Collection, Iterable
 
     from wisteriagw.fleet import BackendServer
     from wisteriagw.placement._prompt import Prompt
@@ -30,7 +29,6 @@
 # this ending. Builds without it exchange and add up such rows like those of a server
 # that they don't know; a row with more fields would make them fail.
 URGENT_ENDING = "\0urgent"
-EQUAL_SPEEDS: Mapping[str, float] = MappingProxyType({})
 
 
 class WorkTable:
@@ -162,19 +160,9 @@
         return found
 
     def list_views(
-        self,
-        servers: Iterable[BackendServer],
-        prompt: Prompt | None,
-        now: float,
-        speeds: Mapping[str, float] = EQUAL_SPEEDS,
+        self, servers: Iterable[BackendServer], prompt: Prompt | None, now: float
     ) -> list[ServerView]:
-        """Return the views of servers for a placement decision.
-
-        Parameters
-        ----------
-        speeds : mapping of str to float
-            Speeds other than 1 by server.
-        """
+        """Return the views of servers for a placement decision."""
         peers = self._list_peer_rows(now)
         views = []
         for server in servers:
@@ -194,7 +182,6 @@
                     streams,
                     cached,
                     failure_penalty,
-                    speeds.get(name, 1.0),
                 )
             )
         return views
