Count VMs as reachable for quotas a little longer than rows are valid

The list of VMs takes three hops and 0.3 s more than an update. Change: 1.2 of the validity of rows. Longer would exceed the bound if VMs fall into three groups: each may use the whole quota until the others count as out of reach.

--- a/wisteriagw/gateway/_customer_quotas.py
+++ b/wisteriagw/gateway/_customer_quotas.py
@@ -29,6 +29,10 @@
 UPDATE_INTERVAL_SECONDS = 0.1
 # A report takes three hops, and peers' rows are valid for five update intervals.
 REPORT_PART_OF_VALIDITY = 0.6
+# VMs are seen through three hops and a list that is sent less often than updates. At
+# the validity of rows itself, a fifth of the VMs that were well seemed out of reach now
+# and then, which cost customers a part of their quota.
+REACH_PART_OF_VALIDITY = 1.2
 FREE = QuotaCharge(True)
 
 
@@ -85,7 +89,8 @@
         valid_seconds = context.sums.valid_seconds
         # Rows of VMs out of reach lapse before the directory leaves the VMs out. Until
         # then each group of VMs would use the whole of every quota.
-        alive = sum(seen < valid_seconds for seen in ages)
+        reach_seconds = REACH_PART_OF_VALIDITY * valid_seconds
+        alive = sum(seen < reach_seconds for seen in ages)
         if math.isinf(age):
             # Without any report this VM may use no more than its equal share.
             alive = 1
