Make usage through relays an option that is off by default

A customer's bill could be too low. Cause: counts wait up to 1.3 s for a relay, so an outage that begins in that time keeps them from the store.

--- a/tests/support/_simulated_fleet.py
+++ b/tests/support/_simulated_fleet.py
@@ -140,6 +140,7 @@
             self.copies,
             incarnation or f"process of {vm}",
             lambda: self.ready,
+            usage_through_relays=True,
         )
 
     def read_store(self) -> None:
--- a/wisteriagw/gateway/_main.py
+++ b/wisteriagw/gateway/_main.py
@@ -60,6 +60,14 @@
         f"percent, 0 to {MAX_LIMIT_PERCENT:g}; default: $WISTERIAGW_HEDGE_LIMIT or 0, "
         "which is off.",
     )
+    parser.add_argument(
+        "--usage-through-relays",
+        action="store_true",
+        default=os.environ.get("WISTERIAGW_USAGE_THROUGH_RELAYS") == "true",
+        help="Let a relay write the usage of the VMs of its data centre, which saves "
+        "calls to the store; default: off, or on if $WISTERIAGW_USAGE_THROUGH_RELAYS "
+        "is true. Known fault: USAGE-4 in KNOWN-RED.txt.",
+    )
     parser.add_argument(
         "--check", action="store_true", help="Check the settings file and exit."
     )
@@ -69,7 +77,7 @@
         sys.stderr.write(format_findings(settings) + "\n")
         sys.exit(EXIT_INVALID_SETTINGS)
     if not options.check:
-        run(settings, options.settings, options.metrics_port, options.hedge_limit)
+        run(settings, options)
 
 
 def read_settings(path: str | None) -> NodeSettings | list[Finding]:
@@ -91,9 +99,7 @@
         raise argparse.ArgumentTypeError(str(error)) from error
 
 
-def run(
-    settings: NodeSettings, path: str, metrics_port: int, hedge_limit: float
-) -> None:
+def run(settings: NodeSettings, options: argparse.Namespace) -> None:
     """Run the process until it is stopped."""
     from twisted.internet import reactor
     from twisted.python.log import PythonLoggingObserver
@@ -107,7 +113,14 @@
     start_logging(PROGRAM, stream=sys.stdout)
     PythonLoggingObserver("wisteriagw.twisted").start()
     logging.getLogger("wisteriagw.twisted").setLevel(logging.ERROR)
-    node = Node(reactor, settings, metrics_port, hedge_limit)
+    node = Node(
+        reactor,
+        settings,
+        options.metrics_port,
+        options.hedge_limit,
+        options.usage_through_relays,
+    )
+    path = options.settings
     monitor = SettingsMonitor(reactor, settings, lambda: read_settings(path))
     reactor.callWhenRunning(node.start)
     reactor.callWhenRunning(monitor.start, SETTINGS_CHECK_SECONDS)
--- a/wisteriagw/gateway/_node.py
+++ b/wisteriagw/gateway/_node.py
@@ -85,6 +85,7 @@
         settings: NodeSettings,
         metrics_port: int,
         hedge_limit: float = 0.0,
+        usage_through_relays: bool = False,
     ) -> None:
         self.stopping = False
         self._hedge_limit = hedge_limit
@@ -111,6 +112,7 @@
             self._copies,
             incarnation,
             self.is_ready,
+            usage_through_relays,
         )
         self._quarantines = QuarantineStore(
             reactor, store, self.context.crashing_parts, wall_clock
--- a/wisteriagw/gateway/_update_exchange.py
+++ b/wisteriagw/gateway/_update_exchange.py
@@ -56,6 +56,8 @@
     ----------
     is_ready : callable
         Whether callers shall use this VM.
+    usage_through_relays : bool
+        Whether a relay writes the usage of the VMs of its data centre.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         copies: UsageCopies,
         incarnation: str,
         is_ready: Any,
+        usage_through_relays: bool = False,
     ) -> None:
         settings = context.settings
         self._context = context
@@ -92,6 +95,7 @@
             incarnation,
             is_ready,
             copies.served,
+            usage_through_relays,
         )
         self._receiver = UpdateReceiver(
             context,
--- a/wisteriagw/gateway/_update_sender.py
+++ b/wisteriagw/gateway/_update_sender.py
@@ -38,6 +38,7 @@
         incarnation: str,
         is_ready: Any,
         served_usage: ServedUsage,
+        usage_through_relays: bool,
     ) -> None:
         settings = context.settings
         self._context = context
@@ -50,6 +51,7 @@
         self._incarnation = incarnation
         self._is_ready = is_ready
         self._served_usage = served_usage
+        self._usage_through_relays = usage_through_relays
         self._vm = settings.vm
         self._data_centre = settings.data_centre
         self._listed_at = float("-inf")
@@ -81,7 +83,9 @@
         )
         # The counts of the last window, or of the one before at the end of a window.
         serves = served.serves(self._vm, context.usage.get_window() - 2)
-        relay = choose_usage_relay(self._vm, peers, local, serves)
+        relay = None
+        if self._usage_through_relays:
+            relay = choose_usage_relay(self._vm, peers, local, serves)
         context.pending_updates.usage_relay = relay
         usage = context.pending_updates.pop_due_usage(now)
         if relay == self._vm and usage.closed_window != NO_WINDOW:
