Wait for the store at a stop while it lacks counts of the process

Cause: a stopping process gave up its usage 0.35 s after its requests. Change: the write may take until 0.35 s before the kill. An idle process ends within half of the grace time if its counts are written, and later if the store is away; bills come first.

--- a/wisteriagw/gateway/_shutdown_sequence.py
+++ b/wisteriagw/gateway/_shutdown_sequence.py
@@ -36,8 +36,8 @@
 class ShutdownSequence:
     """Finishes open requests and writes the usage, within the grace time.
 
-    Nothing that cannot be reached prolongs the stop: the store has a fixed part of the
-    time, and peers and backend servers are not waited for beyond the open requests.
+    Peers and backend servers are not waited for beyond the open requests. The store is,
+    but only while there are counts that it does not have.
     """
 
     def __init__(
@@ -80,7 +80,10 @@
         self._requests.end_requests()
         end_window = get_window() + 1
         writing = Deferred.fromCoroutine(self._usage_writer.write(end_window))
-        writing.addTimeout(EXIT_MARGIN_SECONDS / 2, self._reactor)
+        # Counts that are not written are lost with the process, so an outage of the
+        # store is waited for as long as the platform allows.
+        left = started + grace - self._reactor.seconds()
+        writing.addTimeout(max(EXIT_MARGIN_SECONDS / 2, left), self._reactor)
         try:
             await writing
         except Exception as error:
