Show a run that goes on twice at a slow engine

A stand-in engine that resets channels beyond its limit while its queue is long is taken for ended by the probe of a silent stream, because the reset reaches the connect. The stream goes on at its backup while the engine still works on it (TWICE).

--- /dev/null
+++ b/review/support2/engine.py
@@ -0,0 +1,330 @@
+"""Stand-in for a model engine that runs on after its channel was closed."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import time
+from typing import TYPE_CHECKING, NamedTuple
+
+from review.support2.http import (
+    Request,
+    encode_response,
+    read_request,
+    reset_connection,
+)
+
+if TYPE_CHECKING:
+    from review.support2.store import Store
+
+CHECK_IN_SECONDS = 1.2
+FIRST_EVENT_SECONDS = 0.06
+PREFILL_SECONDS = 0.03
+NOT_EXECUTED = ("X-Wisteriagw-Not-Executed", "1")
+JSON_TYPE = ("Content-Type", "application/json")
+
+
+class Terms(NamedTuple):
+    """Size and speed of an engine.
+
+    Attributes
+    ----------
+    slots : int
+        Requests that run at once.
+    max_conns : int
+        Channels from all callers combined.
+    long_queue, busy_conns : int
+        Requests that wait for a slot from which on its queue is long, and its channels
+        while it is.
+    event_seconds : float
+        Pause between two events of a stream.
+    events : int
+        Events of a stream.
+    """
+
+    slots: int
+    max_conns: int
+    long_queue: int
+    busy_conns: int
+    event_seconds: float
+    events: int
+
+
+class Work:
+    """A run of a request at an engine.
+
+    Attributes
+    ----------
+    first_event : int
+        First event that the run makes.
+    made_at : list of float
+        Times of its events.
+    ended_at : float
+        Time at which the engine ended it.
+    ended : str
+        How it ended.
+    """
+
+    def __init__(self, engine: str, request_id: str, first_event: int) -> None:
+        self.engine = engine
+        self.request_id = request_id
+        self.first_event = first_event
+        self.started_at = time.monotonic()
+        self.made_at: list[float] = []
+        self.ended_at = float("inf")
+        self.ended = ""
+        self.stopped = False
+
+
+class Engine:
+    """Runs streams, keeps copies of those of other engines, and stops runs.
+
+    Attributes
+    ----------
+    pace : float
+        How many times as long each event takes.
+    resets : list of float
+        Times of the channels that were reset beyond the limit.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        name: str,
+        stage: str,
+        zone: str,
+        terms: Terms,
+        engines: dict[str, Engine],
+        works: list[Work],
+    ) -> None:
+        self.name = name
+        self.stage = stage
+        self.pace = 1.0
+        self.resets: list[float] = []
+        self._zone = zone
+        self._store = store
+        self._terms = terms
+        self._engines = engines
+        self._works = works
+        self._born = int(time.time() * 1000)
+        self._open = 0
+        self._waiting = 0
+        self._slots = asyncio.Semaphore(terms.slots)
+        self._running: dict[str, Work] = {}
+        self._copies: set[str] = set()
+        self._handles: set[str] = set()
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen for requests and check in."""
+        self.address = f"{host}:{port}"
+        self._engines[self.address] = self
+        self._server = await asyncio.start_server(self._serve, host, port)
+        self._checking_in = asyncio.create_task(self._check_in())
+
+    def keep_copy(self, request_id: str) -> None:
+        """Keep the memory of a run at another engine."""
+        self._copies.add(request_id)
+
+    async def _check_in(self) -> None:
+        while True:
+            fields = {
+                "service": "lm",
+                "address": self.address,
+                "zone": self._zone,
+                "version": "v1",
+                "slots": self._terms.slots,
+                "state": "ready",
+                "cold_left_ms": 0,
+                "stage": self.stage,
+                "models": [{"name": "m", "version": 1, "loras": []}],
+                "seq": 0,
+                "born": self._born,
+            }
+            self._store.put("keyed.servers", self.name, json.dumps(fields).encode())
+            await asyncio.sleep(CHECK_IN_SECONDS)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        queue_is_long = self._waiting >= self._terms.long_queue
+        limit = self._terms.busy_conns if queue_is_long else self._terms.max_conns
+        if self._open >= limit:
+            self.resets.append(time.monotonic())
+            reset_connection(writer)
+            return
+        self._open += 1
+        try:
+            while (request := await read_request(reader)) is not None:
+                await self._answer(request, writer)
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self._open -= 1
+            with contextlib.suppress(RuntimeError):
+                writer.close()
+
+    async def _answer(self, request: Request, writer: asyncio.StreamWriter) -> None:
+        headers = request.headers
+        request_id = headers.get("x-wisteriagw-request-id", "")
+        echoed = (("X-Wisteriagw-Request-Id", request_id),)
+        if headers.get("x-wisteriagw-expect-instance", self.name) != self.name:
+            writer.write(encode_response(421, b"", echoed))
+        elif request.target == "/kv-move":
+            status, body = self._move(json.loads(request.body))
+            writer.write(encode_response(status, body, (JSON_TYPE,)))
+        elif request.target.startswith("/kv-handle/"):
+            self._handles.discard(request.target.rpartition("/")[2])
+            writer.write(encode_response(200))
+        elif request.target == "/order":
+            # Another order is in progress, says the page.
+            writer.write(encode_response(409, b"{}", (JSON_TYPE,)))
+        elif headers.get("x-wisteriagw-stage") == "prefill":
+            await asyncio.sleep(PREFILL_SECONDS)
+            handle = f"h{len(self._handles)}-{request_id}"
+            self._handles.add(handle)
+            fields = {"kv_handle": handle, "tokens": 383, "version": 1}
+            body = json.dumps(fields).encode()
+            writer.write(encode_response(200, body, (*echoed, JSON_TYPE)))
+        elif self.stage == "prefill":
+            writer.write(encode_response(421, b"", echoed))
+        else:
+            await self._run(request, request_id, writer)
+        await writer.drain()
+
+    def _move(self, fields: dict) -> tuple[int, bytes]:
+        work = self._running.get(fields["id"])
+        if work is None:
+            return 404, b"{}"
+        work.stopped = work.stopped or bool(fields.get("final"))
+        self._engines[fields["to"]].keep_copy(work.request_id)
+        created = work.first_event - 1 + len(work.made_at)
+        reply = {"kv_handle": work.request_id, "created": created}
+        return 200, json.dumps(reply).encode()
+
+    def _take_source(self, source: str) -> bool:
+        """Return whether the memory that a request names can be had."""
+        address, _, handle = source.partition("/")
+        if handle in self._copies:
+            self._copies.discard(handle)
+            return True
+        other = self._engines.get(address)
+        if other is None or handle not in other._handles:
+            return False
+        other._handles.discard(handle)
+        return True
+
+    async def _run(
+        self, request: Request, request_id: str, writer: asyncio.StreamWriter
+    ) -> None:
+        headers = request.headers
+        echoed = (("X-Wisteriagw-Request-Id", request_id),)
+        source = headers.get("x-wisteriagw-kv-source")
+        if source is not None and not self._take_source(source):
+            writer.write(encode_response(503, b"", (*echoed, NOT_EXECUTED)))
+            return
+        last_event = int(headers.get("last-event-id", "0"))
+        self._waiting += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self._waiting -= 1
+        # The run goes on when its channel is closed.
+        work = Work(self.name, request_id, last_event + 1)
+        task = asyncio.create_task(self._work(work, headers, writer))
+        with contextlib.suppress(ConnectionError):
+            await asyncio.shield(task)
+
+    async def _work(
+        self, work: Work, headers: dict[str, str], writer: asyncio.StreamWriter
+    ) -> None:
+        self._works.append(work)
+        self._running[work.request_id] = work
+        backup = headers.get("x-wisteriagw-kv-backup")
+        deadline = time.monotonic() + int(headers["x-wisteriagw-deadline-ms"]) / 1000
+        lines = [
+            "HTTP/1.1 200 OK",
+            f"X-Wisteriagw-Request-Id: {work.request_id}",
+            f"X-Wisteriagw-Server-Stamp: {self.name}.{work.request_id}",
+            "Content-Type: text/event-stream",
+            "Transfer-Encoding: chunked",
+        ]
+        try:
+            await asyncio.sleep(FIRST_EVENT_SECONDS * self.pace)
+            writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+            for number in range(work.first_event, self._terms.events + 1):
+                if number > work.first_event:
+                    await asyncio.sleep(self._terms.event_seconds * self.pace)
+                if work.stopped or time.monotonic() > deadline:
+                    work.ended = "stopped" if work.stopped else "time budget"
+                    writer.transport.abort()
+                    return
+                work.made_at.append(time.monotonic())
+                event = f"id: {number}\ndata: token-{number}\n\n".encode()
+                if not writer.is_closing():
+                    writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+                if backup is not None:
+                    self._engines[backup].keep_copy(work.request_id)
+            work.ended = "complete"
+            if not writer.is_closing():
+                writer.write(b"0\r\n\r\n")
+        finally:
+            work.ended_at = time.monotonic()
+            self._running.pop(work.request_id, None)
+            self._slots.release()
+
+
+def build_engine_configuration(version: int, terms: Terms, key: str) -> bytes:
+    """Return a configuration with a stream that may not run twice."""
+    route = {
+        "name": "r-stall",
+        "host": "desk.example",
+        "path_prefix": "/stall/",
+        "kind": "stream",
+        "timeout_ms": 4000,
+        "slo_ms": 600,
+        "priority": 0,
+        "service": "lm",
+        "max_attempts": 1,
+        "public": False,
+        "sticky": True,
+        "can_resume": False,
+        "gap_target_ms": 200,
+    }
+    engine = {
+        "slots": terms.slots,
+        "kv_capacity": 504494,
+        "kv_token_bytes": 18432,
+        "link_mbps": 370000.0,
+        "migrations": True,
+        "replicas": True,
+        "stride": 6,
+        "most": 12,
+        "kv_ttl_s": 5.0,
+        "stage_switch_s": 3.0,
+        "pin_ms": 4000.0,
+        "max_hold_ms": 2000.0,
+        "models": [{"name": "m"}],
+    }
+    service = {
+        "name": "lm",
+        "health_path": "/health",
+        "max_conns": terms.max_conns,
+        "protocol": "h1",
+        "tls": False,
+        "engine": engine,
+    }
+    limits = {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 4194304,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    }
+    fields = {
+        "version": version,
+        "routes": [route],
+        "services": [service],
+        "limits": limits,
+        "tenants": [{"name": "t1", "api_keys": [key], "priority": 1}],
+    }
+    return json.dumps(fields).encode()
