--- a/review/__init__.py
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""Cases of independent reviews, and what their scripts share."""
--- a/review/support2/engine.py
+++ b/review/support2/engine.py
@@ -1,4 +1,4 @@
-"""Stand-in for a model engine that runs on after its channel was closed."""
+"""Stand-in for a model engine."""
 
 from __future__ import annotations
 
@@ -21,6 +21,8 @@
 CHECK_IN_SECONDS = 1.2
 FIRST_EVENT_SECONDS = 0.06
 PREFILL_SECONDS = 0.03
+# Interval at which a run looks whether its channel was closed or it was stopped.
+LOOK_SECONDS = 0.05
 NOT_EXECUTED = ("X-Wisteriagw-Not-Executed", "1")
 JSON_TYPE = ("Content-Type", "application/json")
 
@@ -82,6 +84,8 @@
 
     Attributes
     ----------
+    drops : bool
+        Whether it drops a request when its channel closes, as most engines do.
     pace : float
         How many times as long each event takes.
     resets : list of float
@@ -100,6 +104,7 @@
     ) -> None:
         self.name = name
         self.stage = stage
+        self.drops = True
         self.pace = 1.0
         self.resets: list[float] = []
         self._zone = zone
@@ -229,7 +234,6 @@
             await self._slots.acquire()
         finally:
             self._waiting -= 1
-        # The run goes on when its channel is closed.
         work = Work(self.name, request_id, last_event + 1)
         task = asyncio.create_task(self._work(work, headers, writer))
         with contextlib.suppress(ConnectionError):
@@ -250,13 +254,14 @@
             "Transfer-Encoding: chunked",
         ]
         try:
-            await asyncio.sleep(FIRST_EVENT_SECONDS * self.pace)
+            await self._pass_time(FIRST_EVENT_SECONDS, work, writer)
             writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
             for number in range(work.first_event, self._terms.events + 1):
                 if number > work.first_event:
-                    await asyncio.sleep(self._terms.event_seconds * self.pace)
-                if work.stopped or time.monotonic() > deadline:
-                    work.ended = "stopped" if work.stopped else "time budget"
+                    await self._pass_time(self._terms.event_seconds, work, writer)
+                if not work.ended and time.monotonic() > deadline:
+                    work.ended = "time budget"
+                if work.ended:
                     writer.transport.abort()
                     return
                 work.made_at.append(time.monotonic())
@@ -273,6 +278,20 @@
             self._running.pop(work.request_id, None)
             self._slots.release()
 
+    async def _pass_time(
+        self, seconds: float, work: Work, writer: asyncio.StreamWriter
+    ) -> None:
+        """Work for some seconds at the engine's pace, unless the run ends."""
+        until = time.monotonic() + seconds * self.pace
+        while (left := until - time.monotonic()) > 0:
+            await asyncio.sleep(min(left, LOOK_SECONDS))
+            if work.stopped:
+                work.ended = "stopped"
+            elif self.drops and writer.is_closing():
+                work.ended = "dropped with its channel"
+            if work.ended:
+                return
+
 
 def build_engine_configuration(version: int, terms: Terms, key: str) -> bytes:
     """Return a configuration with a stream that may not run twice."""
