--- a/review/support2/engine.py
+++ b/review/support2/engine.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import time
+from collections import deque
 from typing import TYPE_CHECKING, NamedTuple
 
 from review.support2.http import (
@@ -21,6 +22,10 @@
 CHECK_IN_SECONDS = 1.2
 FIRST_EVENT_SECONDS = 0.06
 PREFILL_SECONDS = 0.03
+# ``kv_ttl_s`` of the configuration.
+HANDLE_SECONDS = 5.0
+# ``stage_switch_s`` of the configuration.
+STAGE_SWITCH_SECONDS = 3.0
 # Interval at which a run looks whether its channel was closed or it was stopped.
 LOOK_SECONDS = 0.05
 NOT_EXECUTED = ("X-Wisteriagw-Not-Executed", "1")
@@ -90,6 +95,8 @@
         How many times as long each event takes.
     resets : list of float
         Times of the channels that were reset beyond the limit.
+    orders : list
+        Times of the orders that were accepted, and the stages.
     """
 
     def __init__(
@@ -107,6 +114,7 @@
         self.drops = True
         self.pace = 1.0
         self.resets: list[float] = []
+        self.orders: list[tuple[float, str]] = []
         self._zone = zone
         self._store = store
         self._terms = terms
@@ -114,23 +122,31 @@
         self._works = works
         self._born = int(time.time() * 1000)
         self._open = 0
-        self._waiting = 0
-        self._slots = asyncio.Semaphore(terms.slots)
+        self._busy = 0
+        self._waiting: deque[asyncio.Future[None]] = deque()
         self._running: dict[str, Work] = {}
         self._copies: set[str] = set()
-        self._handles: set[str] = set()
+        # Handles of prefilled prompts, with the times at which they lapse.
+        self._handles: dict[str, float] = {}
+        self._prefills = 0
+        self._changing = False
+        self._seq = 0
 
-    async def start(self, host: str, port: int) -> None:
-        """Listen for requests and check in."""
-        self.address = f"{host}:{port}"
+    async def start(self, host: str) -> None:
+        """Listen for requests on a free port and check in."""
+        self._server = await asyncio.start_server(self._serve, host, 0)
+        self.address = "{}:{}".format(*self._server.sockets[0].getsockname()[:2])
         self._engines[self.address] = self
-        self._server = await asyncio.start_server(self._serve, host, port)
         self._checking_in = asyncio.create_task(self._check_in())
 
     def keep_copy(self, request_id: str) -> None:
         """Keep the memory of a run at another engine."""
         self._copies.add(request_id)
 
+    def drop_copy(self, request_id: str) -> None:
+        """Free the copy of a run that has ended successfully."""
+        self._copies.discard(request_id)
+
     async def _check_in(self) -> None:
         while True:
             fields = {
@@ -143,7 +159,8 @@
                 "cold_left_ms": 0,
                 "stage": self.stage,
                 "models": [{"name": "m", "version": 1, "loras": []}],
-                "seq": 0,
+                "busy": self._changing,
+                "seq": self._seq,
                 "born": self._born,
             }
             self._store.put("keyed.servers", self.name, json.dumps(fields).encode())
@@ -152,7 +169,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        queue_is_long = self._waiting >= self._terms.long_queue
+        queue_is_long = len(self._waiting) >= self._terms.long_queue
         limit = self._terms.busy_conns if queue_is_long else self._terms.max_conns
         if self._open >= limit:
             self.resets.append(time.monotonic())
@@ -179,15 +196,20 @@
             status, body = self._move(json.loads(request.body))
             writer.write(encode_response(status, body, (JSON_TYPE,)))
         elif request.target.startswith("/kv-handle/"):
-            self._handles.discard(request.target.rpartition("/")[2])
+            self._handles.pop(request.target.rpartition("/")[2], None)
             writer.write(encode_response(200))
         elif request.target == "/order":
-            # Another order is in progress, says the page.
-            writer.write(encode_response(409, b"{}", (JSON_TYPE,)))
+            status = self._order(json.loads(request.body))
+            writer.write(encode_response(status, b"{}", (JSON_TYPE,)))
+        elif "x-wisteriagw-model" not in headers:
+            writer.write(encode_response(404))
+        elif self._changing:
+            writer.write(encode_response(503, b"", (*echoed, NOT_EXECUTED)))
         elif headers.get("x-wisteriagw-stage") == "prefill":
             await asyncio.sleep(PREFILL_SECONDS)
-            handle = f"h{len(self._handles)}-{request_id}"
-            self._handles.add(handle)
+            self._prefills += 1
+            handle = f"{self.name}-{self._prefills}"
+            self._handles[handle] = time.monotonic() + HANDLE_SECONDS
             fields = {"kv_handle": handle, "tokens": 383, "version": 1}
             body = json.dumps(fields).encode()
             writer.write(encode_response(200, body, (*echoed, JSON_TYPE)))
@@ -197,6 +219,28 @@
             await self._run(request, request_id, writer)
         await writer.drain()
 
+    def _order(self, fields: dict) -> int:
+        """Change the stage; running work ends first."""
+        if not fields.get("owner") or not isinstance(fields.get("fence_token"), int):
+            return 400
+        if fields.get("op") != "stage":
+            return 400
+        if self._changing:
+            return 409
+        if fields["stage"] == self.stage:
+            return 200
+        self._changing = True
+        self.orders.append((time.monotonic(), fields["stage"]))
+        self._change = asyncio.create_task(self._change_stage(fields["stage"]))
+        return 202
+
+    async def _change_stage(self, stage: str) -> None:
+        while self._running:
+            await asyncio.sleep(LOOK_SECONDS)
+        await asyncio.sleep(STAGE_SWITCH_SECONDS)
+        self.stage, self._changing = stage, False
+        self._seq += 1
+
     def _move(self, fields: dict) -> tuple[int, bytes]:
         work = self._running.get(fields["id"])
         if work is None:
@@ -214,10 +258,9 @@
             self._copies.discard(handle)
             return True
         other = self._engines.get(address)
-        if other is None or handle not in other._handles:
+        if other is None:
             return False
-        other._handles.discard(handle)
-        return True
+        return time.monotonic() < other._handles.pop(handle, 0.0)
 
     async def _run(
         self, request: Request, request_id: str, writer: asyncio.StreamWriter
@@ -229,16 +272,31 @@
             writer.write(encode_response(503, b"", (*echoed, NOT_EXECUTED)))
             return
         last_event = int(headers.get("last-event-id", "0"))
-        self._waiting += 1
-        try:
-            await self._slots.acquire()
-        finally:
-            self._waiting -= 1
+        await self._take_slot(first=source is not None)
         work = Work(self.name, request_id, last_event + 1)
         task = asyncio.create_task(self._work(work, headers, writer))
         with contextlib.suppress(ConnectionError):
             await asyncio.shield(task)
 
+    async def _take_slot(self, first: bool) -> None:
+        """Wait for a slot; a request that goes on from a memory is admitted first."""
+        if self._busy < self._terms.slots:
+            self._busy += 1
+            return
+        waiting = asyncio.get_running_loop().create_future()
+        if first:
+            self._waiting.appendleft(waiting)
+        else:
+            self._waiting.append(waiting)
+        # The slot of the run that ends passes to this one.
+        await waiting
+
+    def _release_slot(self) -> None:
+        if self._waiting:
+            self._waiting.popleft().set_result(None)
+            return
+        self._busy -= 1
+
     async def _work(
         self, work: Work, headers: dict[str, str], writer: asyncio.StreamWriter
     ) -> None:
@@ -271,12 +329,14 @@
                 if backup is not None:
                     self._engines[backup].keep_copy(work.request_id)
             work.ended = "complete"
+            if backup is not None:
+                self._engines[backup].drop_copy(work.request_id)
             if not writer.is_closing():
                 writer.write(b"0\r\n\r\n")
         finally:
             work.ended_at = time.monotonic()
             self._running.pop(work.request_id, None)
-            self._slots.release()
+            self._release_slot()
 
     async def _pass_time(
         self, seconds: float, work: Work, writer: asyncio.StreamWriter
@@ -319,8 +379,8 @@
         "replicas": True,
         "stride": 6,
         "most": 12,
-        "kv_ttl_s": 5.0,
-        "stage_switch_s": 3.0,
+        "kv_ttl_s": HANDLE_SECONDS,
+        "stage_switch_s": STAGE_SWITCH_SECONDS,
         "pin_ms": 4000.0,
         "max_hold_ms": 2000.0,
         "models": [{"name": "m"}],
--- a/review/support2/gateways.py
+++ b/review/support2/gateways.py
@@ -18,7 +18,8 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 # The words of ``run`` in deploy/system.toml.
 COMMAND = ["python3", "-m", "wisteriagw.gateway", "--metrics-port", "9464"]
-PORTS = (8404, 8405, 8406, 8407, 9464, *range(7660, 7676))
+METRICS_PORT = 9464
+PORTS_OF_A_MACHINE = 5
 CONTRACTS = (
     "base",
     "drain",
@@ -41,8 +42,8 @@
 ip = "{ip}"
 zone = "{zone}"
 region = "land"
-port_range = [7660,7675]
-seeds = ["{ip}:8407"]
+port_range = [{peers},{peers}]
+seeds = ["{ip}:{control}"]
 bootstrap = {bootstrap}
 counts_as_loss = false
 discovery = "platform"
@@ -54,10 +55,10 @@
 z2 = "land"
 z3 = "land"
 [listen]
-front = "{ip}:8405"
-ready = "{ip}:8406"
-control = "{ip}:8407"
-directory = "{ip}:8404"
+front = "{ip}:{front}"
+ready = "{ip}:{ready}"
+control = "{ip}:{control}"
+directory = "{ip}:{directory}"
 [limits]
 cpu_share = 0.537
 cores = 2
@@ -119,15 +120,30 @@
 
 
 def pick_addresses(count: int) -> list[str]:
-    """Return loopback addresses on which all ports in use here are free."""
+    """Return loopback addresses on which the port of the metrics is free.
+
+    That port is a word of the command; all others are picked by the system.
+    """
     found: list[str] = []
     while len(found) < count:
         ip = ".".join(["127", *(str(random.randint(2, 250)) for _ in range(3))])
-        if ip not in found and all(_is_free(ip, port) for port in PORTS):
+        if ip not in found and _is_free(ip, METRICS_PORT):
             found.append(ip)
     return found
 
 
+def pick_ports(ip: str, count: int) -> list[int]:
+    """Return free ports of an address."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for free in sockets:
+            free.bind((ip, 0))
+        return [free.getsockname()[1] for free in sockets]
+    finally:
+        for free in sockets:
+            free.close()
+
+
 def _is_free(ip: str, port: int) -> bool:
     with socket.socket() as probe:
         try:
@@ -150,10 +166,13 @@
         cloud: str,
     ) -> None:
         self.name = name
-        self.front = (ip, 8405)
-        self.ready = (ip, 8406)
+        names = ("front", "ready", "control", "directory", "peers")
+        ports = dict(zip(names, pick_ports(ip, PORTS_OF_A_MACHINE), strict=True))
+        self.front = (ip, ports["front"])
+        self.ready = (ip, ports["ready"])
         self._folder = folder
         self._fields = {"name": name, "zone": zone, "ip": ip}
+        self._fields |= ports
         self._fields |= {"contracts": json.dumps(CONTRACTS)}
         self._fields |= {"store": store, "cloud": cloud}
         self._process: subprocess.Popen | None = None
--- a/review/support2/proxy.py
+++ b/review/support2/proxy.py
@@ -18,9 +18,10 @@
         self._silent_before = 0
         self._opened = 0
 
-    async def start(self, host: str, port: int) -> None:
-        """Listen for connections."""
-        self._server = await asyncio.start_server(self._serve, host, port)
+    async def start(self, host: str) -> tuple[str, int]:
+        """Listen on a free port, and return the address."""
+        self._server = await asyncio.start_server(self._serve, host, 0)
+        return self._server.sockets[0].getsockname()[:2]
 
     def silence(self) -> int:
         """Make all open connections silent; return how many were ever opened."""
--- a/review/support2/store.py
+++ b/review/support2/store.py
@@ -1,4 +1,4 @@
-"""Stand-in for the platform's store and its interface for duties."""
+"""Stand-ins for the platform's store and its interface for duties."""
 
 from __future__ import annotations
 
@@ -35,20 +35,18 @@
         Value of ``Store-Era`` in all answers.
     down : bool
         Whether calls get no answer.
-    calls : list
-        Calls to the duty interface: time, target, holder, number, body.
     """
 
     def __init__(self, era: int | None = None) -> None:
         self.era = era
         self.down = False
-        self.calls: list[tuple[float, str, str, int, dict]] = []
         self._topics: dict[str, list[Record]] = {}
         self._changed = asyncio.Event()
 
-    async def start(self, host: str, port: int) -> None:
-        """Listen for calls."""
-        self._server = await asyncio.start_server(self._serve, host, port)
+    async def start(self, host: str) -> tuple[str, int]:
+        """Listen for calls on a free port, and return the address."""
+        self._server = await asyncio.start_server(self._serve, host, 0)
+        return self._server.sockets[0].getsockname()[:2]
 
     def put(self, topic: str, key: str, value: bytes) -> int:
         """Append a keyed record, or the removal of a key; return its offset."""
@@ -122,12 +120,6 @@
             return await self._handle_read(query)
         if parts.path == "/log-newest":
             return self._handle_newest(query)
-        if parts.path in ("/usage", "/scale"):
-            holder = request.headers.get("x-wisteriagw-duty-holder", "")
-            number = int(request.headers.get("x-wisteriagw-fence-token", "0"))
-            call = (time.time(), parts.path, holder, number, json.loads(request.body))
-            self.calls.append(call)
-            return 200, b"{}", JSON_TYPE
         return 404, b"{}", JSON_TYPE
 
     def _handle_append(self, query: dict, body: bytes) -> tuple[int, bytes, tuple]:
@@ -170,3 +162,26 @@
         end = len(self._topics.get(topic, []))
         reply = {"items": items, "has_more": False, "end_offset": end}
         return 200, json.dumps(reply).encode(), JSON_TYPE
+
+
+class Cloud:
+    """Interface for usage reports and orders of servers; it accepts every call."""
+
+    async def start(self, host: str) -> tuple[str, int]:
+        """Listen for calls on a free port, and return the address."""
+        self._server = await asyncio.start_server(self._serve, host, 0)
+        return self._server.sockets[0].getsockname()[:2]
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while await read_request(reader) is not None:
+                await asyncio.sleep(ANSWER_SECONDS)
+                writer.write(encode_response(200, b"{}", JSON_TYPE))
+                await writer.drain()
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            with contextlib.suppress(RuntimeError):
+                writer.close()
--- a/review/support2/worker.py
+++ b/review/support2/worker.py
@@ -41,10 +41,10 @@
         self._born = int(time.time() * 1000)
         self._checking_in: asyncio.Task | None = None
 
-    async def start(self, host: str, port: int) -> None:
-        """Listen for requests and check in."""
-        self.address = (host, port)
-        self._server = await asyncio.start_server(self._serve, host, port)
+    async def start(self, host: str) -> None:
+        """Listen for requests on a free port and check in."""
+        self._server = await asyncio.start_server(self._serve, host, 0)
+        self.address = self._server.sockets[0].getsockname()[:2]
         self._checking_in = asyncio.create_task(self._check_in())
 
     def leave(self) -> None:
