--- a/review/8/case.py
+++ b/review/8/case.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import pathlib
 import sys
 import time
@@ -15,10 +14,15 @@
 from review.support2.http import send_request  # noqa: E402
 from review.support2.proxy import Proxy  # noqa: E402
 from review.support2.record import Record  # noqa: E402
-from review.support2.store import Store  # noqa: E402
+from review.support2.running import (  # noqa: E402
+    BROKEN,
+    HELD,
+    NOT_RUN,
+    run_case,
+)
+from review.support2.store import Cloud, Store  # noqa: E402
 from review.support2.worker import Worker, build_configuration  # noqa: E402
 
-HELD, BROKEN, NOT_RUN = 0, 1, 2
 ZONES = ("z1", "z2", "z3")
 CONTACT_SECONDS = 3.0
 DRAIN_SECONDS = 2.0
@@ -46,21 +50,23 @@
         """Play the case and return the exit status."""
         ips = pick_addresses(7)
         self.store = Store()
-        await self.store.start(ips[0], 8408)
+        store_address = await self.store.start(ips[0])
+        cloud_address = "{}:{}".format(*await Cloud().start(ips[0]))
         self.store.put("keyed.op", "config", build_configuration(1, (KEY,)))
         self.workers = []
         for number, zone in enumerate(ZONES):
             worker = Worker(self.store, f"w{number}", "desk", zone, self.runs)
-            await worker.start(ips[1 + number], 8080)
+            await worker.start(ips[1 + number])
             self.workers.append(worker)
         proxies = []
         for number, zone in enumerate(ZONES):
             ip = ips[4 + number]
-            proxy = Proxy((ips[0], 8408))
-            await proxy.start(ip, 8500)
+            proxy = Proxy(store_address)
+            link = "{}:{}".format(*await proxy.start(ip))
             proxies.append(proxy)
-            link, cloud = f"{ip}:8500", f"{ips[0]}:8408"
-            gateway = Gateway(self.folder.path, f"vm{number}", zone, ip, link, cloud)
+            gateway = Gateway(
+                self.folder.path, f"vm{number}", zone, ip, link, cloud_address
+            )
             self.gateways.append(gateway)
             gateway.start(bootstrap=True)
         for gateway in self.gateways:
@@ -103,6 +109,7 @@
         )
         at = time.monotonic()
         self.sent_at[request_id] = (at, gateway.name)
+        self.record.add(f"{request_id} sent to {gateway.name}")
         answer = await send_request(
             gateway.front, "GET", "/sheet/1", headers, timeout=1.5
         )
@@ -140,17 +147,5 @@
         self.folder.remove()
 
 
-def main() -> int:
-    """Run the case."""
-    case = Case(os.environ.get("TROUBLE", "1") != "0")
-    try:
-        return asyncio.run(case.run())
-    except (OSError, TimeoutError) as error:
-        print(f"the case could not run: {error!r}")
-        return NOT_RUN
-    finally:
-        case.close()
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(Case))
